--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -81,32 +81,49 @@
 // in avoid are left out.
 func (d *Dispatcher) ChoosePath(now time.Time, service *routing.Service, size Generation,
 	avoid map[entity.TargetID]bool) *Path {
-	engine := service.Engine
 	d.collect(now, service, size, avoid)
-	delay := engine.Delays
+	stages, cost, ok := d.chooser.Choose(service.Engine.Layers, d.nodes, d.costs(service.Engine, size))
+	if !ok || cost >= layerpath.NoRoom {
+		return nil
+	}
+	path := &Path{size: size}
+	for _, stage := range stages {
+		path.Stages = append(path.Stages, Stage{Target: d.states[stage.Index].Target, Layers: stage.Layers})
+	}
+	d.reserve(path)
+	return path
+}
+
+// costs returns what the passage between engines costs a generation.
+func (d *Dispatcher) costs(engine *routing.Engine, size Generation) layerpath.Costs {
 	crossing := float64(0)
-	for _, d := range delay {
-		crossing = max(crossing, d.Seconds())
+	for _, delay := range engine.Delays {
+		crossing = max(crossing, delay.Seconds())
 	}
-	costs := layerpath.Costs{
+	return layerpath.Costs{
 		Hop:      hopDelay.Seconds() * size.Answer,
-		Crossing: crossing*size.Answer + pipeWeight*d.pipeTime(engine, size),
+		Crossing: crossing*size.Answer + pipeWeight*pipeTime(engine, size),
 		Entry:    entryCost.Seconds(),
 		Zone:     d.Zone,
 	}
-	stages, cost, ok := d.chooser.Choose(engine.Layers, d.nodes, costs)
-	if !ok || cost >= layerpath.NoRoom {
-		return nil
-	}
-	path := &Path{size: size}
-	for _, stage := range stages {
-		state := d.states[stage.Index]
+}
+
+// reserve counts a path as in progress on its engines.
+func (d *Dispatcher) reserve(path *Path) {
+	for _, stage := range path.Stages {
+		state := d.Fleet.Get(stage.Target.ID)
+		if state == nil || state.Born != stage.Target.Born {
+			continue
+		}
 		state.InProgress++
 		state.SinceSharing++
-		state.CacheInUse += (size.Prompt + size.Answer) * float64(stage.Layers.Len())
-		path.Stages = append(path.Stages, Stage{Target: state.Target, Layers: stage.Layers})
+		state.CacheInUse += path.cache(stage)
 	}
-	return path
+}
+
+// cache returns the KV cache of a generation on one engine of its path, in tokens times layers.
+func (p *Path) cache(stage Stage) float64 {
+	return (p.size.Prompt + p.size.Answer) * float64(stage.Layers.Len())
 }
 
 // Release ends the reservation of a path.
@@ -117,11 +134,12 @@
 			continue
 		}
 		state.InProgress = max(0, state.InProgress-1)
-		state.CacheInUse = max(0, state.CacheInUse-(path.size.Prompt+path.size.Answer)*float64(stage.Layers.Len()))
+		state.CacheInUse = max(0, state.CacheInUse-path.cache(stage))
 	}
 }
 
-func (d *Dispatcher) pipeTime(engine *routing.Engine, size Generation) float64 {
+// pipeTime returns how long a prompt occupies the pipe between two zones, in seconds.
+func pipeTime(engine *routing.Engine, size Generation) float64 {
 	if engine.PipeRate <= 0 {
 		return 0
 	}
--- a/core/dispatch/dispatch_test.go
+++ b/core/dispatch/dispatch_test.go
@@ -156,3 +156,71 @@
 		}
 	}
 }
+
+// TestRerouteKeepsTheOtherEngines guards that a new path differs from the old one only in the layers of the engines at fault,
+// and that it stays in the zone unless there is no other way: the tokens of many streams filled the pipe between zones, and
+// pauses grew to more than a second (abay-cost, trouble-2).
+func TestRerouteKeepsTheOtherEngines(t *testing.T) {
+	size := Generation{Prompt: 800, Answer: 150}
+	spare := func(d *Dispatcher, id string, zone entity.ZoneID, from, to int) {
+		d.Fleet.Put(fleet.Target{
+			ID: entity.TargetID(id), Service: "llm", Zone: zone, Card: "card", Slots: 100, Born: 1,
+			Layers: entity.LayerRange{From: from, To: to},
+		})
+	}
+	for _, test := range []struct {
+		name     string
+		fault    []entity.TargetID
+		crossing bool
+		change   func(d *Dispatcher)
+		want     string
+	}{
+		{"in the zone", []entity.TargetID{"a1"}, false, func(d *Dispatcher) { spare(d, "a2", "a", 4, 8) }, "a0a2"},
+		{"by two engines", []entity.TargetID{"a1"}, false, func(d *Dispatcher) {
+			spare(d, "a2", "a", 2, 6)
+			spare(d, "a3", "a", 6, 8)
+		}, "a0a2a3"},
+		{"only in another zone", []entity.TargetID{"a1"}, false, func(*Dispatcher) {}, ""},
+		{"across zones", []entity.TargetID{"a1"}, true, func(*Dispatcher) {}, "a0b1"},
+		{"first engine at fault", []entity.TargetID{"a0"}, true, func(*Dispatcher) {}, ""},
+		{"suspected", []entity.TargetID{"a1"}, true, func(d *Dispatcher) { d.Fleet.Failed(start, "b1") }, ""},
+		{"without room", []entity.TargetID{"a1"}, true, func(d *Dispatcher) {
+			d.Fleet.SetOtherLoads(start, loadshare.Loads{"b1": {Sequences: 100, Cache: 4 * 25000}}, 2)
+		}, ""},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			d, service := testDispatcher(), testService()
+			path := d.ChoosePath(start, service, size, nil)
+			if got := name(path); got != "a0a1" {
+				t.Fatalf("path %s", got)
+			}
+			test.change(d)
+			fault := make(map[entity.TargetID]bool)
+			for _, id := range test.fault {
+				fault[id] = true
+			}
+			changed := d.Reroute(start, service, path, fault, nil, test.crossing)
+			got := ""
+			if changed != nil {
+				got = name(changed)
+				next := 0
+				for _, stage := range changed.Stages {
+					if stage.Layers.From != next {
+						t.Errorf("a stage begins at layer %d where %d is due", stage.Layers.From, next)
+					}
+					next = stage.Layers.To
+				}
+				d.Release(changed)
+			}
+			if got != test.want {
+				t.Errorf("new path %q, want %q", got, test.want)
+			}
+			d.Release(path)
+			for id, state := range d.Fleet.All {
+				if state.InProgress != 0 || state.CacheInUse != 0 {
+					t.Errorf("%s is left with %d requests", id, state.InProgress)
+				}
+			}
+		})
+	}
+}
--- /dev/null
+++ b/core/dispatch/reroute.go
@@ -0,0 +1,110 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	"github.com/hyssophoist/hyssophoist/core/entity"
+	"github.com/hyssophoist/hyssophoist/core/fleet"
+	"github.com/hyssophoist/hyssophoist/core/layerpath"
+	"github.com/hyssophoist/hyssophoist/core/routing"
+)
+
+// Reroute returns a path in which other engines take the layers of those at fault. The engines that stay keep what they
+// hold of the request, so only the new ones read its tokens. It answers the loss of engines: streams that start anew would
+// all be read whole by the engines that are left, and would draw on the limit of repetitions.
+//
+// Without crossing, the new engines are in the zones of their neighbours on the path: the tokens so far of many streams
+// would fill the pipe between zones, which takes longer than reading them anew on a path of another zone.
+//
+// The new path is counted as in progress until Release, beside the old one. Reroute returns nil if the first engine is at
+// fault, which holds the connection, or if no other engines with room cover the layers.
+func (d *Dispatcher) Reroute(now time.Time, service *routing.Service, path *Path, fault, avoid map[entity.TargetID]bool,
+	crossing bool) *Path {
+	if fault[path.Stages[0].Target.ID] {
+		return nil
+	}
+	used := make(map[entity.TargetID]bool, len(avoid)+len(path.Stages))
+	for id := range avoid {
+		used[id] = true
+	}
+	for _, stage := range path.Stages {
+		used[stage.Target.ID] = true
+	}
+	changed := &Path{size: path.size}
+	for i := 0; i < len(path.Stages); {
+		stage := path.Stages[i]
+		if !fault[stage.Target.ID] {
+			changed.Stages = append(changed.Stages, stage)
+			i++
+			continue
+		}
+		end := i + 1
+		for end < len(path.Stages) && fault[path.Stages[end].Target.ID] {
+			end++
+		}
+		gap := entity.LayerRange{From: stage.Layers.From, To: path.Stages[end-1].Layers.To}
+		zones := []entity.ZoneID{path.Stages[i-1].Target.Zone}
+		if end < len(path.Stages) {
+			zones = append(zones, path.Stages[end].Target.Zone)
+		}
+		detour := d.detour(now, service, path.size, gap, zones, crossing, used)
+		if detour == nil {
+			return nil
+		}
+		for _, added := range detour {
+			used[added.Target.ID] = true
+		}
+		changed.Stages = append(changed.Stages, detour...)
+		i = end
+	}
+	d.reserve(changed)
+	return changed
+}
+
+// detour returns engines that cover gap between engines of the given zones, or nil. Suspected ones are not used: a request
+// that has stalled once is better started anew.
+func (d *Dispatcher) detour(now time.Time, service *routing.Service, size Generation, gap entity.LayerRange,
+	zones []entity.ZoneID, crossing bool, used map[entity.TargetID]bool) []Stage {
+	d.collect(now, service, size, used)
+	kept := 0
+	for _, node := range d.nodes {
+		from, to := max(node.Layers.From, gap.From), min(node.Layers.To, gap.To)
+		if from >= to || node.Fixed >= suspectCost || !crossing && !slices.Contains(zones, node.Zone) {
+			continue
+		}
+		node.Layers = entity.LayerRange{From: from - gap.From, To: to - gap.From}
+		d.nodes[kept] = node
+		kept++
+	}
+	costs := d.costs(service.Engine, size)
+	costs.Entry, costs.Zone = costs.Crossing, zones[0]
+	stages, cost, ok := d.chooser.Choose(gap.Len(), d.nodes[:kept], costs)
+	if !ok || cost >= layerpath.NoRoom {
+		return nil
+	}
+	detour := make([]Stage, len(stages))
+	for i, stage := range stages {
+		layers := entity.LayerRange{From: gap.From + stage.Layers.From, To: gap.From + stage.Layers.To}
+		detour[i] = Stage{Target: d.states[stage.Index].Target, Layers: layers}
+	}
+	return detour
+}
+
+// Targets returns the engines of a path in order.
+func (p *Path) Targets() []fleet.Target {
+	targets := make([]fleet.Target, len(p.Stages))
+	for i, stage := range p.Stages {
+		targets[i] = stage.Target
+	}
+	return targets
+}
+
+// Target returns the engine of a path with the given address.
+func (p *Path) Target(address string) (fleet.Target, bool) {
+	i := slices.IndexFunc(p.Stages, func(stage Stage) bool { return stage.Target.Address == address })
+	if i < 0 {
+		return fleet.Target{}, false
+	}
+	return p.Stages[i].Target, true
+}
--- a/core/retry/window.go
+++ b/core/retry/window.go
@@ -37,8 +37,17 @@
 func (w *Window) Request(now time.Duration) { w.at(now).requests++ }
 
 // Repeat takes one repetition, or returns false if none is left. instances is the number of instances that share the limit.
-// During the first span of time the slack grows from nothing: an earlier process of the same instance may have used it.
 func (w *Window) Repeat(now time.Duration, instances int) bool {
+	if !w.Allows(now, instances) {
+		return false
+	}
+	w.at(now).repetitions++
+	return true
+}
+
+// Allows says whether a repetition is left. During the first span of time the slack grows from nothing: an earlier process
+// of the same instance may have used it.
+func (w *Window) Allows(now time.Duration, instances int) bool {
 	current := w.at(now)
 	requests, repetitions := 0.0, 0.0
 	for i := range w.buckets {
@@ -51,11 +60,7 @@
 		}
 	}
 	slack := w.limit.Slack / float64(max(1, instances)) * min(1, float64(now)/float64(w.limit.Span))
-	if repetitions+1 > w.limit.Ratio*requests+slack {
-		return false
-	}
-	current.repetitions++
-	return true
+	return repetitions+1 <= w.limit.Ratio*requests+slack
 }
 
 func (w *Window) at(now time.Duration) *bucket {
--- /dev/null
+++ b/internal/edge/reroute_test.go
@@ -0,0 +1,119 @@
+package edge
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/hyssophoist/hyssophoist/internal/emulator/edgeplatform"
+)
+
+// TestStalledStreamIsRerouted guards that a stream that waits for a lost engine goes on along a path around that engine on
+// the same connection. It is no repetition, so the limit of repetitions and of attempts does not end it. Without reroutes
+// the bench saw 119 refused and 80 broken streams on abay-cost, trouble-2, because the limit was used up.
+func TestStalledStreamIsRerouted(t *testing.T) {
+	t.Parallel()
+	for _, test := range []struct {
+		name string
+		// lost says that the engine does not answer either; else only the report of the first engine names it.
+		lost bool
+		// blocked says that the first engine chosen in its place cannot take its part.
+		blocked bool
+		after   int
+	}{
+		{"lost engine", true, false, 5},
+		{"named by the first engine", false, false, 5},
+		{"before the first event", true, false, 0},
+		{"second choice", true, true, 5},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			d := newDeployment(t)
+			daemon := d.placed()
+			first, second := d.path(daemon)
+			spares := []*edgeplatform.Target{d.spare(daemon, 8, "a", second)}
+			faults := edgeplatform.TargetFaults{StallAfter: test.after, WaitFor: second.Address(), HideWait: test.lost}
+			if test.blocked {
+				spares = append(spares, d.spare(daemon, 9, "a", second))
+				faults.RefuseReroute = spares[0].Address()
+			}
+			first.SetFaults(faults)
+			if test.lost {
+				second.Close()
+			}
+			sent := time.Now()
+			got := d.stream(daemon, "s1")
+			if got.status != http.StatusOK || got.err != nil {
+				t.Fatalf("stream: %+v", got)
+			}
+			checkEvents(t, got.body)
+			if took := time.Since(sent); took >= callerPatience {
+				t.Errorf("the stream took %v, a caller leaves after a pause of %v", took, callerPatience)
+			}
+			if runs := d.runsOf("s1"); len(runs) != 1 {
+				t.Errorf("%d runs, a reroute is not a repetition", len(runs))
+			}
+			if reroutes := first.Reroutes(); len(reroutes) != 1 {
+				t.Errorf("paths ordered: %v", reroutes)
+			}
+		})
+	}
+}
+
+// TestStreamWithoutDetourStartsAnew guards that a stream whose first engine is lost, or whose first engine refuses a new
+// path, goes on as a new attempt.
+func TestStreamWithoutDetourStartsAnew(t *testing.T) {
+	t.Parallel()
+	d := newDeployment(t)
+	daemon := d.placed()
+	first, second := d.path(daemon)
+	refusing := d.spare(daemon, 8, "a", second).Address()
+	first.SetFaults(edgeplatform.TargetFaults{StallAfter: 5, WaitFor: second.Address(), RefuseReroute: refusing})
+	second.Close()
+	got := d.stream(daemon, "s1")
+	if got.status != http.StatusOK || got.err != nil {
+		t.Fatalf("stream: %+v", got)
+	}
+	checkEvents(t, got.body)
+	if reroutes := first.Reroutes(); len(reroutes) != 0 {
+		t.Errorf("paths ordered: %v", reroutes)
+	}
+}
+
+// path returns the two engines that a stream passes through at present.
+func (d *deployment) path(daemon *Daemon) (first, second *edgeplatform.Target) {
+	d.t.Helper()
+	if got := d.stream(daemon, "probe"); got.status != http.StatusOK {
+		d.t.Fatalf("stream: %+v", got)
+	}
+	runs := d.runsOf("probe")
+	for _, engine := range d.engines {
+		from, to, _ := engine.Layers()
+		hop := fmt.Sprintf("%s=%d-%d", engine.Address(), from, to)
+		switch {
+		case len(runs) != 1:
+		case runs[0].Hops[:min(len(hop), len(runs[0].Hops))] == hop:
+			first = engine
+		case len(runs[0].Hops) >= len(hop) && runs[0].Hops[len(runs[0].Hops)-len(hop):] == hop:
+			second = engine
+		}
+	}
+	if first == nil || second == nil {
+		d.t.Fatalf("the probe ran as %+v", runs)
+	}
+	return first, second
+}
+
+// spare starts an engine that holds the same layers as another one, and waits until the daemon knows it.
+func (d *deployment) spare(daemon *Daemon, number int, zone string, like *edgeplatform.Target) *edgeplatform.Target {
+	d.t.Helper()
+	before := daemon.knownLayers()
+	engine := edgeplatform.NewTarget(fmt.Sprintf("engine-%d", number), "llm", zone, "small", streamEvents)
+	d.t.Cleanup(engine.Close)
+	from, to, most := like.Layers()
+	engine.Hold(from, to, most)
+	d.list(engine, "ready")
+	d.wait("the spare engine is known", func() bool { return daemon.knownLayers() == before+to-from })
+	return engine
+}
--- a/internal/emulator/edgeplatform/target.go
+++ b/internal/emulator/edgeplatform/target.go
@@ -24,6 +24,12 @@
 	Torn       bool
 	// StallAfter makes each stream silent after so many events; 0 for none.
 	StallAfter int
+	// WaitFor is the address of another engine for which each stream waits after StallAfter events, until the stream is sent
+	// along a path without it. HideWait leaves that out of the report.
+	WaitFor  string
+	HideWait bool
+	// RefuseReroute makes the target refuse to send streams along another path, because of the engine at this address.
+	RefuseReroute string
 	// Refuse makes the target state that it did not run the request.
 	Refuse bool
 	// LoseAnswers makes the target run requests and close the connection without an answer.
@@ -62,11 +68,15 @@
 	most   int
 	// working counts the requests in progress.
 	working int
+	// waiting holds the streams that wait for another engine; a new path is sent to their channel.
+	waiting map[string]chan string
+	// reroutes holds the new paths of all requests.
+	reroutes []string
 }
 
 // NewTarget starts a target.
 func NewTarget(id, service, zone, card string, events int) *Target {
-	t := &Target{ID: id, Service: service, Zone: zone, Card: card, Events: events}
+	t := &Target{ID: id, Service: service, Zone: zone, Card: card, Events: events, waiting: make(map[string]chan string)}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /api/report", t.report)
 	mux.HandleFunc("POST /api/order", t.order)
@@ -112,6 +122,13 @@
 	return t.from, t.to, t.most
 }
 
+// Hold makes the target hold layers without an order. Its arguments are what Layers returns.
+func (t *Target) Hold(from, to, most int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.from, t.to, t.most = from, to, most
+}
+
 // Entry returns the target's entry in the list of targets.
 func (t *Target) Entry(state string) map[string]any {
 	t.mu.Lock()
@@ -135,6 +152,13 @@
 	if t.to > t.from {
 		body["layers"] = map[string]any{"from": t.from, "target": t.to, "version": 1}
 	}
+	stalled := []map[string]string{}
+	for id := range t.waiting {
+		if !t.faults.HideWait {
+			stalled = append(stalled, map[string]string{"id": id, "addr": t.faults.WaitFor})
+		}
+	}
+	body["stalled"] = stalled
 	writeJSON(w, http.StatusOK, body)
 }
 
@@ -144,13 +168,23 @@
 		From         int    `json:"from"`
 		Target       int    `json:"target"`
 		Precondition *int   `json:"precondition"`
+		ID           string `json:"id"`
+		Path         string `json:"path"`
 	}
-	if err := json.NewDecoder(r.Body).Decode(&order); err != nil || order.Op != "place" {
+	if err := json.NewDecoder(r.Body).Decode(&order); err != nil {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if order.Op == "repath" {
+		t.reroute(w, order.ID, order.Path)
+		return
+	}
+	if order.Op != "place" {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
 	if order.Precondition != nil && *order.Precondition != t.orders {
 		w.WriteHeader(http.StatusConflict)
 		return
@@ -161,6 +195,53 @@
 	w.WriteHeader(http.StatusAccepted)
 }
 
+// reroute lets a waiting stream go on if its new path does without the engine that it waits for.
+func (t *Target) reroute(w http.ResponseWriter, id, path string) {
+	waiting := t.waiting[id]
+	switch {
+	case waiting == nil:
+		w.WriteHeader(http.StatusNotFound)
+	case !strings.HasPrefix(path, t.Address()+"="):
+		w.WriteHeader(http.StatusBadRequest)
+	case t.faults.RefuseReroute != "" && strings.Contains(path, t.faults.RefuseReroute+"="):
+		writeJSON(w, http.StatusConflict, map[string]string{"addr": t.faults.RefuseReroute})
+	default:
+		t.reroutes = append(t.reroutes, path)
+		if !strings.Contains(path, t.faults.WaitFor+"=") {
+			delete(t.waiting, id)
+			close(waiting)
+		}
+		w.WriteHeader(http.StatusOK)
+	}
+}
+
+// Reroutes returns the new paths that the target was ordered to send requests along.
+func (t *Target) Reroutes() []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return append([]string(nil), t.reroutes...)
+}
+
+// wait holds a stream up until it is rerouted; it reports false if the caller leaves before.
+func (t *Target) wait(r *http.Request) bool {
+	id := r.Header.Get("X-Request-Id")
+	rerouted := make(chan string)
+	t.mu.Lock()
+	t.waiting[id] = rerouted
+	t.mu.Unlock()
+	select {
+	case <-rerouted:
+		return true
+	case <-r.Context().Done():
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		if t.waiting[id] == rerouted {
+			delete(t.waiting, id)
+		}
+		return false
+	}
+}
+
 func (t *Target) serve(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
@@ -230,7 +311,12 @@
 	control := http.NewResponseController(w)
 	for i := first; i < t.Events; i++ {
 		made := i - first
-		if faults.StallAfter > 0 && made >= faults.StallAfter {
+		if faults.WaitFor != "" && made == faults.StallAfter && strings.Contains(r.Header.Get("X-Hops"), faults.WaitFor+"=") {
+			if !t.wait(r) {
+				return
+			}
+		}
+		if faults.WaitFor == "" && faults.StallAfter > 0 && made >= faults.StallAfter {
 			<-r.Context().Done()
 			return
 		}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -55,7 +55,7 @@
 	Retries retry.Limit
 	// FirstStart says that no earlier process of this instance can have sent anything.
 	FirstStart bool
-	// Engines reads reports of engines.
+	// Engines reads reports of engines and reroutes requests.
 	Engines Engines
 	// Ended, if set, is told of each ended request.
 	Ended func(kind, result string, duration time.Duration)
@@ -179,7 +179,13 @@
 	// trail names the targets of all attempts, for the log.
 	trail []string
 	// progress describes what the caller got of a stream; nil for other calls.
-	progress func() (events int, first, longestPause time.Duration)
+	progress func() progress
+}
+
+// progress is what a caller got of a stream.
+type progress struct {
+	events, reroutes    int
+	first, longestPause time.Duration
 }
 
 // ServeHTTP implements http.Handler.
@@ -309,15 +315,20 @@
 
 // repeat takes one repetition from this instance's part of the limit.
 func (q *request) repeat() bool {
-	g := q.gateway
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	instances := g.known
+	q.gateway.mu.Lock()
+	defer q.gateway.mu.Unlock()
+	window, now, instances := q.gateway.repetitions(q.service.ID)
+	q.limited = !window.Repeat(now, instances)
+	return !q.limited
+}
+
+// repetitions returns the repetitions to a service, with the time and the number of instances by which they are counted.
+func (g *Gateway) repetitions(service entity.ServiceID) (window *retry.Window, now time.Duration, instances int) {
+	instances = g.known
 	if instances <= 1 {
 		instances = assumedInstances
 	}
-	q.limited = !g.window(q.service.ID).Repeat(boottime.Now().Sub(g.started), instances)
-	return !q.limited
+	return g.window(service), boottime.Now().Sub(g.started), instances
 }
 
 func (g *Gateway) window(service entity.ServiceID) *retry.Window {
@@ -379,13 +390,14 @@
 	if q.last != nil {
 		reason = q.last.Error()
 	}
-	events, first, pause := 0, time.Duration(0), time.Duration(0)
+	var got progress
 	if q.progress != nil {
-		events, first, pause = q.progress()
+		got = q.progress()
 	}
 	log.Event("request ended", "request", q.ID, "result", result, "status", status, "route", routeName, "kind", kind,
 		"account", q.account.ID, "version", version, "ms", duration.Milliseconds(), "sends", q.sends, "runs", q.runs,
-		"limited", q.limited, "events", events, "firstMs", first.Milliseconds(), "pauseMs", pause.Milliseconds(),
+		"limited", q.limited, "reroutes", got.reroutes, "events", got.events, "firstMs", got.first.Milliseconds(),
+		"pauseMs", got.longestPause.Milliseconds(),
 		"targets", strings.Join(q.trail, ";"), "reason", reason)
 	if q.gateway.options.Ended != nil {
 		q.gateway.options.Ended(kind, result, duration)
--- a/internal/gateway/inspect.go
+++ b/internal/gateway/inspect.go
@@ -25,9 +25,12 @@
 	reportLife = 500 * time.Millisecond
 )
 
-// Engines reads reports of engines.
+// Engines reads reports of engines and reroutes requests.
 type Engines interface {
 	Report(ctx context.Context, target fleet.Target) (fleet.Report, error)
+	// Reroute has the first engine of a request's path send the request along another path, which begins with the same
+	// stage. The error gives the reason of outcomes other than Rerouted.
+	Reroute(ctx context.Context, first fleet.Target, requestID string, path []Hop) (Reroute, error)
 }
 
 // inspector asks engines for reports when a stream makes no progress.
@@ -99,73 +102,100 @@
 	}
 }
 
-// fault asks the engines of a path why the request makes no progress. It returns the engine at fault, or nil if all answer
+// faults asks the engines of a path why the request makes no progress. It returns the engines at fault, none if all answer
 // and none is named.
-func (i *inspector) fault(ctx context.Context, requestID string, targets []fleet.Target) *fleet.Target {
+func (i *inspector) faults(ctx context.Context, requestID string, targets []fleet.Target) (faults []fleet.Target) {
 	reports := make([]inspection, len(targets))
 	var asked sync.WaitGroup
 	for n, target := range targets {
 		asked.Go(func() { reports[n].report, reports[n].err = i.inspect(ctx, target) })
 	}
 	asked.Wait()
-	if ctx.Err() != nil {
+	if ctx.Err() != nil || len(targets) == 0 {
 		return nil
 	}
-	for n := range targets {
-		if reports[n].err != nil {
-			return &targets[n]
+	named := make(map[string]bool)
+	for _, stalled := range reports[0].report.Stalled {
+		if stalled.ID == requestID {
+			named[stalled.Address] = true
 		}
 	}
-	for _, stalled := range reports[0].report.Stalled {
-		for n := range targets {
-			if stalled.ID == requestID && stalled.Address == targets[n].Address {
-				return &targets[n]
-			}
+	for n, target := range targets {
+		if reports[n].err != nil || named[target.Address] {
+			faults = append(faults, target)
 		}
 	}
-	return nil
+	return faults
+}
+
+// watched is an attempt as its watchdog sees it.
+type watched struct {
+	requestID string
+	// targets returns the engines of the attempt's path.
+	targets func() []fleet.Target
+	// patience is how long nothing may arrive although no engine is found to be at fault.
+	patience func() time.Duration
+	// reroute tries to go on without the engines at fault.
+	reroute func(ctx context.Context, faults []fleet.Target) bool
+	// giveUp ends the attempt.
+	giveUp func()
 }
 
 // watchdog watches the progress of one attempt at a stream.
 type watchdog struct {
+	inspector *inspector
+	attempt   watched
+
 	mu       sync.Mutex
 	timer    *time.Timer
 	progress time.Time
-	fault    *fleet.Target
+	faults   []fleet.Target
 	stopped  bool
 }
 
-// watch calls giveUp when an engine of the path is found to be at fault, or when nothing has arrived for limit.
-func (i *inspector) watch(ctx context.Context, requestID string, targets []fleet.Target, limit func() time.Duration,
-	giveUp func()) *watchdog {
-	w := &watchdog{progress: time.Now()}
-	w.timer = time.AfterFunc(stallCheck, func() {
-		w.mu.Lock()
-		quiet, stopped := time.Since(w.progress), w.stopped
-		w.mu.Unlock()
-		if stopped {
-			return
-		}
-		if quiet < stallCheck {
-			w.rearm(stallCheck - quiet)
-			return
-		}
-		at := i.fault(ctx, requestID, targets)
+// watch reroutes an attempt when engines of its path are found to be at fault. It gives the attempt up when that is not
+// possible, or when nothing has arrived for its patience.
+func (i *inspector) watch(ctx context.Context, attempt watched) *watchdog {
+	w := &watchdog{inspector: i, attempt: attempt, progress: time.Now()}
+	w.timer = time.AfterFunc(stallCheck, func() { w.check(ctx) })
+	return w
+}
+
+// quiet returns how long nothing has arrived; stopped says that the attempt has ended.
+func (w *watchdog) quiet() (quiet time.Duration, stopped bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return time.Since(w.progress), w.stopped
+}
+
+func (w *watchdog) check(ctx context.Context) {
+	quiet, stopped := w.quiet()
+	if stopped {
+		return
+	}
+	if quiet < stallCheck {
+		w.rearm(stallCheck - quiet)
+		return
+	}
+	faults := w.inspector.faults(ctx, w.attempt.requestID, w.attempt.targets())
+	quiet, stopped = w.quiet()
+	switch limit := w.attempt.patience(); {
+	case stopped:
+		return
+	case quiet < stallCheck:
+		w.rearm(stallCheck - quiet)
+	case len(faults) > 0 && w.attempt.reroute(ctx, faults):
+		w.moved()
+		w.rearm(stallCheck)
+	case len(faults) > 0 || quiet >= limit:
 		w.mu.Lock()
-		quiet = time.Since(w.progress)
-		stopped = w.stopped || quiet < stallCheck
-		if !stopped {
-			w.fault = at
-		}
+		w.faults = faults
 		w.mu.Unlock()
-		if !stopped && (at != nil || quiet >= limit()) {
-			giveUp()
-			return
-		}
+		w.attempt.giveUp()
+	default:
 		// Asks less often the longer the pause, but not later than the limit.
-		w.rearm(min(quiet, max(minRecheck, limit()-quiet)))
-	})
-	return w
+		w.rearm(min(quiet, max(minRecheck, limit-quiet)))
+	}
 }
 
 func (w *watchdog) rearm(after time.Duration) {
@@ -183,11 +213,11 @@
 	w.progress = time.Now()
 }
 
-// stop ends the watch and returns the engine that was found to be at fault, or nil.
-func (w *watchdog) stop() *fleet.Target {
+// stop ends the watch and returns the engines for which the attempt was given up.
+func (w *watchdog) stop() []fleet.Target {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.stopped = true
 	w.timer.Stop()
-	return w.fault
+	return w.faults
 }
--- /dev/null
+++ b/internal/gateway/reroute.go
@@ -0,0 +1,131 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/hyssophoist/hyssophoist/core/dispatch"
+	"github.com/hyssophoist/hyssophoist/core/entity"
+	"github.com/hyssophoist/hyssophoist/core/fleet"
+	"github.com/hyssophoist/hyssophoist/internal/boottime"
+)
+
+const (
+	// maxReroutes bounds the engines' losses that one attempt survives on its connection.
+	maxReroutes = 4
+	// maxRerouteOrders bounds the paths that are tried for one loss: an engine of a new path may turn out to be lost too.
+	maxRerouteOrders = 3
+	// rerouteTimeout bounds one order. A caller leaves after a pause of two seconds, and a new attempt must still fit.
+	rerouteTimeout = 200 * time.Millisecond
+)
+
+// RerouteOutcome is the result of an order to send a request along another path.
+type RerouteOutcome int
+
+// The outcomes. After RerouteUnknown the order may be carried out later.
+const (
+	RerouteUnknown RerouteOutcome = iota
+	Rerouted
+	// RerouteBlocked says that an engine of the new path cannot take its part.
+	RerouteBlocked
+	// RerouteRefused says that the first engine does not carry the order out, for example because the request has ended.
+	RerouteRefused
+)
+
+// String returns the outcome for logs.
+func (o RerouteOutcome) String() string {
+	return [...]string{"unknown", "rerouted", "blocked", "refused"}[o]
+}
+
+// Reroute is the answer of a first engine to such an order.
+type Reroute struct {
+	Outcome RerouteOutcome
+	// Blocking is the address of the engine that blocks, if the outcome is RerouteBlocked and the engine names one.
+	Blocking string
+}
+
+// reroute has other engines take the layers of those at fault, on the connection of the attempt. It reports false if the
+// attempt cannot go on so.
+func (s *stream) reroute(ctx context.Context, faults []fleet.Target) bool {
+	fault := make(map[entity.TargetID]bool, len(faults))
+	for _, target := range faults {
+		fault[target.ID] = true
+	}
+	if s.reroutes.Load() >= maxReroutes {
+		return false
+	}
+	avoid := make(map[entity.TargetID]bool)
+	for range maxRerouteOrders {
+		old, changed := s.chooseReroute(fault, avoid)
+		if changed == nil {
+			log.Event("no other engines for a stalled stream", "request", s.ID, "faults", len(faults), "avoided", len(avoid))
+			return false
+		}
+		answer, again := s.orderReroute(ctx, old, changed)
+		if answer.Outcome == Rerouted {
+			for _, target := range faults {
+				s.gateway.failed(target.ID, s.ID, "no progress, the stream was rerouted")
+			}
+			return true
+		}
+		if !again {
+			return false
+		}
+		if blocking, found := changed.Target(answer.Blocking); found {
+			avoid[blocking.ID] = true
+			fault[blocking.ID] = true // if it was on the old path already
+		}
+	}
+	return false
+}
+
+// chooseReroute returns the path of the attempt and the one to replace it, nil if there is none. The latter is reserved.
+func (s *stream) chooseReroute(fault, avoid map[entity.TargetID]bool) (old, changed *dispatch.Path) {
+	s.gateway.mu.Lock()
+	defer s.gateway.mu.Unlock()
+	if s.path == nil {
+		return nil, nil
+	}
+	for id := range s.avoid {
+		avoid[id] = true
+	}
+	// A stream that may start anew does so rather than fill the pipe between zones.
+	window, now, instances := s.gateway.repetitions(s.service.ID)
+	crossing := !s.resumable || !window.Allows(now, instances)
+	return s.path, s.gateway.dispatcher.Reroute(boottime.Now(), s.service, s.path, fault, avoid, crossing)
+}
+
+// orderReroute orders one change of path. again says that another path may be tried.
+func (s *stream) orderReroute(ctx context.Context, old, changed *dispatch.Path) (answer Reroute, again bool) {
+	ctx, cancel := context.WithTimeout(ctx, rerouteTimeout)
+	defer cancel()
+	first := changed.Stages[0].Target
+	answer, err := s.gateway.options.Engines.Reroute(ctx, first, s.ID, hopsOf(changed))
+	reason := ""
+	if err != nil {
+		reason = err.Error()
+	}
+	kept := s.settleReroute(old, changed, answer.Outcome)
+	log.Event("reroute ordered", "request", s.ID, "outcome", answer.Outcome.String(), "kept", kept, "path", pathName(changed),
+		"blocking", answer.Blocking, "error", reason)
+	return answer, kept && answer.Outcome == RerouteBlocked && answer.Blocking != ""
+}
+
+// settleReroute puts the new path in place of the old one or drops it. It reports false if the attempt has ended meanwhile.
+func (s *stream) settleReroute(old, changed *dispatch.Path, outcome RerouteOutcome) bool {
+	s.gateway.mu.Lock()
+	defer s.gateway.mu.Unlock()
+	current := s.path == old
+	if current && outcome == Rerouted {
+		s.path = changed
+		s.reroutes.Add(1)
+		s.gateway.dispatcher.Release(old)
+		return true
+	}
+	s.gateway.dispatcher.Release(changed)
+	if outcome == RerouteUnknown {
+		// The order may be carried out later, on a new attempt at the same engine.
+		s.avoid[changed.Stages[0].Target.ID] = true
+	}
+	return current
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -37,8 +37,14 @@
 type stream struct {
 	*request
 	size dispatch.Generation
-	// avoid holds the engines that failed this stream.
+	// avoid holds the engines that failed this stream, path is the path of the attempt in progress. Both are guarded by the
+	// mutex of the gateway.
 	avoid map[entity.TargetID]bool
+	path  *dispatch.Path
+	// reroutes counts the changes of path within an attempt.
+	reroutes atomic.Int32
+	// resumable says that another attempt may follow the one in progress.
+	resumable bool
 	// begun says that the head of the answer has been sent, with the first event.
 	begun bool
 	// lastEvent is the id of the last event passed on, events their number.
@@ -60,7 +66,9 @@
 		request: q, avoid: make(map[entity.TargetID]bool), lastEvent: q.LastEvent,
 		control: http.NewResponseController(q.writer),
 	}
-	q.progress = func() (int, time.Duration, time.Duration) { return s.events, s.firstEvent, s.longestPause }
+	q.progress = func() progress {
+		return progress{events: s.events, reroutes: int(s.reroutes.Load()), first: s.firstEvent, longestPause: s.longestPause}
+	}
 	if q.service.Engine == nil {
 		q.refuse(errkind.NoCapacity)
 		return
@@ -99,25 +107,28 @@
 		s.last, s.lastKind = errNoPath, errkind.NoCapacity
 		return false, false
 	}
-	defer s.release(path)
+	defer s.release()
 	s.sends++
 	s.trail = append(s.trail, pathName(path))
+	s.resumable = s.route.Repeatable() && s.runs+1 < s.route.MaxAttempts
 	attemptCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	s.watchdog = s.gateway.inspector.watch(attemptCtx, s.ID, targetsOf(path), s.patience, cancel)
+	s.watchdog = s.gateway.inspector.watch(attemptCtx, watched{
+		requestID: s.ID, targets: s.targets, patience: s.patience, reroute: s.reroute, giveUp: cancel,
+	})
 	defer s.watchdog.stop()
 	x, err := s.gateway.send(attemptCtx, s.newAttempt(path), false, s.left())
 	if err != nil {
-		return s.broken(ctx, path, err)
+		return s.broken(ctx, err)
 	}
 	if x.reply.NotRun {
 		x.abort()
-		s.blame(path, x.reply.FaultAddress, "the path did not run the request")
+		s.blame(x.reply.FaultAddress, "the path did not run the request")
 		s.last, s.lastKind = errors.New("the path did not run the request"), errkind.Overloaded
 		return false, true
 	}
 	if x.reply.Status != http.StatusOK || !x.reply.Genuine || x.reply.Encoded {
-		return s.notStream(x, path)
+		return s.notStream(x)
 	}
 	x.deadline(s.left())
 	err = s.copyEvents(x)
@@ -130,7 +141,7 @@
 		return true, false
 	}
 	x.abort()
-	return s.broken(ctx, path, err)
+	return s.broken(ctx, err)
 }
 
 // awaitPath returns a path, and waits a little for one if engines are missing or have just refused the stream. It returns
@@ -141,7 +152,9 @@
 			return path
 		}
 		// An engine that refused may have room again, and there may be no other.
+		s.gateway.mu.Lock()
 		clear(s.avoid)
+		s.gateway.mu.Unlock()
 		timer := time.NewTimer(pathRetry)
 		select {
 		case <-timer.C:
@@ -151,16 +164,35 @@
 	}
 }
 
+// choosePath chooses and reserves the path of an attempt.
 func (s *stream) choosePath() *dispatch.Path {
 	s.gateway.mu.Lock()
 	defer s.gateway.mu.Unlock()
-	return s.gateway.dispatcher.ChoosePath(boottime.Now(), s.service, s.size, s.avoid)
+	s.path = s.gateway.dispatcher.ChoosePath(boottime.Now(), s.service, s.size, s.avoid)
+	return s.path
+}
+
+// release ends the reservation of the attempt's path.
+func (s *stream) release() {
+	s.gateway.mu.Lock()
+	defer s.gateway.mu.Unlock()
+	s.gateway.dispatcher.Release(s.path)
+	s.path = nil
 }
 
-func (s *stream) release(path *dispatch.Path) {
+// currentPath returns the path of the attempt in progress.
+func (s *stream) currentPath() *dispatch.Path {
 	s.gateway.mu.Lock()
 	defer s.gateway.mu.Unlock()
-	s.gateway.dispatcher.Release(path)
+	return s.path
+}
+
+// targets returns the engines of the attempt in progress, none if it has ended.
+func (s *stream) targets() []fleet.Target {
+	if path := s.currentPath(); path != nil {
+		return path.Targets()
+	}
+	return nil
 }
 
 func (s *stream) newAttempt(path *dispatch.Path) *Attempt {
@@ -168,14 +200,18 @@
 		Call: s.Call, Target: path.Stages[0].Target, Account: s.account.ID, Left: s.left(), LastEvent: s.lastEvent,
 		Urgency: min(9, max(0, s.priority())),
 	}
-	for _, stage := range path.Stages {
-		attempt.Path = append(attempt.Path, Hop{
-			Target: stage.Target.ID, Address: stage.Target.Address, Layers: stage.Layers,
-		})
-	}
+	attempt.Path = hopsOf(path)
 	return attempt
 }
 
+func hopsOf(path *dispatch.Path) []Hop {
+	hops := make([]Hop, len(path.Stages))
+	for i, stage := range path.Stages {
+		hops[i] = Hop{Target: stage.Target.ID, Address: stage.Target.Address, Layers: stage.Layers}
+	}
+	return hops
+}
+
 func pathName(path *dispatch.Path) string {
 	var b strings.Builder
 	for i, stage := range path.Stages {
@@ -187,18 +223,10 @@
 	return b.String()
 }
 
-func targetsOf(path *dispatch.Path) []fleet.Target {
-	targets := make([]fleet.Target, len(path.Stages))
-	for i, stage := range path.Stages {
-		targets[i] = stage.Target
-	}
-	return targets
-}
-
 // patience returns how long the stream waits for its next event although no engine is found to be at fault.
 func (s *stream) patience() time.Duration {
 	switch {
-	case !s.route.Repeatable() || s.runs+1 >= s.route.MaxAttempts:
+	case !s.resumable:
 		return s.left()
 	case s.moving.Load():
 		return eventTimeout
@@ -263,7 +291,7 @@
 }
 
 // broken handles an attempt that ended without a whole answer.
-func (s *stream) broken(ctx context.Context, path *dispatch.Path, err error) (done, again bool) {
+func (s *stream) broken(ctx context.Context, err error) (done, again bool) {
 	s.last = err
 	if s.Request.Context().Err() != nil {
 		s.ended(string(errkind.Canceled), "")
@@ -271,43 +299,49 @@
 	}
 	if errors.Is(err, errNotSent) {
 		s.lastKind = errkind.NoCapacity
-		s.blame(path, path.Stages[0].Target.Address, err.Error())
+		s.blame(s.currentPath().Stages[0].Target.Address, err.Error())
 		return false, true
 	}
 	s.runs++
 	s.lastKind = unknownKind(err, ctx)
-	if fault := s.watchdog.stop(); fault != nil {
+	faults := s.watchdog.stop()
+	for _, fault := range faults {
 		s.last = fmt.Errorf("no progress, engine %s is at fault", fault.ID)
-		s.blame(path, fault.Address, s.last.Error())
-	} else {
-		s.blame(path, "", err.Error())
+		s.blame(fault.Address, s.last.Error())
+	}
+	if len(faults) == 0 {
+		s.blame("", err.Error())
 	}
-	log.Event("stream interrupted", "request", s.ID, "events", s.events, "lastEvent", s.lastEvent, "path", pathName(path),
+	log.Event("stream interrupted", "request", s.ID, "events", s.events, "lastEvent", s.lastEvent, "path", pathName(s.currentPath()),
 		"reason", s.last.Error(), "resume", s.mayRunAgain())
 	return false, s.mayRunAgain()
 }
 
-// blame notes which engine of a path failed: the one at address. Without one this stream avoids the whole path.
-func (s *stream) blame(path *dispatch.Path, address, reason string) {
-	for _, stage := range path.Stages {
-		if stage.Target.Address == address {
+// blame notes which engine of the attempt's path failed: the one at address. Without one this stream avoids the whole path.
+func (s *stream) blame(address, reason string) {
+	path := s.currentPath()
+	target, found := path.Target(address)
+	s.gateway.mu.Lock()
+	if found {
+		s.avoid[target.ID] = true
+	} else {
+		for _, stage := range path.Stages {
 			s.avoid[stage.Target.ID] = true
-			s.gateway.failed(stage.Target.ID, s.ID, reason)
-			return
 		}
 	}
-	for _, stage := range path.Stages {
-		s.avoid[stage.Target.ID] = true
+	s.gateway.mu.Unlock()
+	if found {
+		s.gateway.failed(target.ID, s.ID, reason)
 	}
 }
 
 // notStream handles an answer of a target that is not a stream.
-func (s *stream) notStream(x *exchange, path *dispatch.Path) (done, again bool) {
+func (s *stream) notStream(x *exchange) (done, again bool) {
 	s.runs++
 	body, err := x.body(s.left())
 	if err != nil || !x.reply.Genuine || x.reply.Encoded || s.begun {
 		s.last, s.lastKind = fmt.Errorf("the answer is not a stream: status %d", x.reply.Status), errkind.TargetFailed
-		s.blame(path, "", s.last.Error())
+		s.blame("", s.last.Error())
 		return false, s.mayRunAgain()
 	}
 	if x.reply.Status >= http.StatusInternalServerError && s.mayRunAgain() {
