Give each edge daemon of a test an address of its own

Cause: TestPipelinedRequests failed once under the race detector with "bind: address already in use" on a port that another test had been given in between: free ports were found by closing a listener on 127.0.0.1.

Change: each daemon gets a loopback address from the process and a counter, so no port can be taken by others.

--- a/internal/edge/deployment_test.go
+++ b/internal/edge/deployment_test.go
@@ -5,9 +5,10 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
+	"os"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -98,21 +99,22 @@
 	}
 }
 
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer listener.Close()
-	return listener.Addr().String()
+// daemonsStarted numbers the daemons of this process.
+var daemonsStarted atomic.Int32
+
+// ownAddress returns a loopback address that no other daemon and no other test process uses. Ports that were found free on
+// 127.0.0.1 were taken by other tests now and then before the daemon listened.
+func ownAddress(number int32) string {
+	process := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 1+(process>>8)%250, process%256, 1+number%250)
 }
 
 func (d *deployment) addDaemon(zone string) *Daemon {
 	d.t.Helper()
+	ip := ownAddress(daemonsStarted.Add(1))
 	s := &settings.Edge{
-		Daemon: fmt.Sprintf("edge-%d", len(d.daemons)), Zone: zone, Front: freeAddress(d.t), Ready: freeAddress(d.t),
-		Peer: freeAddress(d.t), Metrics: freeAddress(d.t), MemoryMB: 100, StopGrace: settings.Duration(5 * time.Second),
+		Daemon: fmt.Sprintf("edge-%d", len(d.daemons)), Zone: zone, Front: ip + ":8000", Ready: ip + ":8001",
+		Peer: ip + ":8002", Metrics: ip + ":8003", MemoryMB: 100, StopGrace: settings.Duration(5 * time.Second),
 		FirstStart: true,
 		DrainBound: settings.Duration(2 * time.Second), ConfigurationBound: settings.Duration(2 * time.Second),
 		Retries: settings.Retries{Ratio: 0.2, Slack: 2000, Span: settings.Duration(10 * time.Second)},
