Give engines that load time before others are ordered for the same layers

After 3 s the order counted as failed and the next engine that served was ordered for the same gap.

Change: a begun order of an engine that gives up layers has 10 s more. While an engine carries out an order that this instance does not know, only empty engines get orders.

Ruled out: that the entries lag; they show the loss of the old layers within 0.3 s.

TestServingEnginesWaitForASlowOne fails without the second rule.

--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -36,6 +36,9 @@
 	Fixed bool
 	// Lost engines do not count as holding anything.
 	Lost bool
+	// Unknown says that the engine carries out an order whose range is not known. It may cover a gap soon, so no engine that
+	// serves is taken out of service meanwhile.
+	Unknown bool
 }
 
 // Order tells an engine to hold a range.
@@ -134,7 +137,9 @@
 	// cover counts the holders of each layer in the group, anywhere those in the whole deployment.
 	cover    []int
 	anywhere []int
-	orders   []Order
+	// uncertain says that the range of an engine of the group is not known.
+	uncertain bool
+	orders    []Order
 }
 
 func newPlanner(engine *routing.Engine, group []Holder) *planner {
@@ -152,6 +157,7 @@
 		if !holder.Lost {
 			count(p.cover, holder.Held, 1)
 		}
+		p.uncertain = p.uncertain || holder.Unknown
 	}
 	return p
 }
@@ -201,6 +207,9 @@
 		if p.fill(gap) {
 			continue
 		}
+		if p.uncertain {
+			return
+		}
 		if p.extend(gap) {
 			continue
 		}
@@ -366,7 +375,7 @@
 // redundant says whether all layers of an engine that can take an order are held by another one too.
 func (p *planner) redundant(i int) bool {
 	holder := p.holders[i]
-	if holder.Fixed || holder.Lost || p.most(i) == 0 {
+	if holder.Fixed || holder.Lost || p.most(i) == 0 || p.uncertain {
 		return false
 	}
 	for layer := holder.Held.From; layer < holder.Held.To; layer++ {
--- a/core/placement/placement_test.go
+++ b/core/placement/placement_test.go
@@ -167,3 +167,26 @@
 		}
 	}
 }
+
+// TestUnknownOrderKeepsServingEngines guards that while an engine carries out an order with an unknown range, only empty
+// engines get orders: the gap may be closed by then, and an engine that serves is out of service while it loads.
+func TestUnknownOrderKeepsServingEngines(t *testing.T) {
+	engine := testEngine()
+	list := holders("a", 4, 0)
+	list[0].Held = entity.LayerRange{From: 0, To: 7}
+	list[1].Held = entity.LayerRange{From: 0, To: 7}
+	list[2].Held = entity.LayerRange{From: 7, To: 14}
+	list[3].Fixed, list[3].Unknown = true, true
+	if orders := Plan(engine, list); len(orders) != 0 {
+		t.Errorf("orders to engines that serve: %+v", orders)
+	}
+	empty := Holder{ID: "empty", Zone: "a", Card: "big"}
+	orders := Plan(engine, append(list, empty))
+	if len(orders) != 1 || orders[0].Target != empty.ID || orders[0].Layers.From != 14 {
+		t.Errorf("orders %+v, want one to the empty engine for the gap", orders)
+	}
+	list[3].Unknown = false
+	if orders := Plan(engine, list); len(orders) == 0 {
+		t.Error("no order for a gap although nothing is under way")
+	}
+}
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -47,6 +47,8 @@
 	// multiplied by loadPatience.
 	minLoadTime  = 3 * time.Second
 	loadPatience = 3
+	// leavePatience is added for an engine that gives up layers: it first waits for the streams that pass through them.
+	leavePatience = 10 * time.Second
 	// failurePause is the time for which an engine that refused or failed an order gets no other.
 	failurePause = time.Second
 	storeTimeout = time.Second
@@ -105,6 +107,10 @@
 	until  time.Time
 	failed bool
 	born   int64
+	// foreign says that the engine carries out an order of another instance, with an unknown range. listed is the range in
+	// its entry at that time.
+	foreign bool
+	listed  entity.LayerRange
 }
 
 // Placer gives orders to engines.
@@ -228,6 +234,8 @@
 	order, ordered := p.pending[state.ID]
 	switch {
 	case !ordered || order.born != state.Born:
+	case order.foreign:
+		holder.Fixed, holder.Unknown = true, state.Layers == order.listed
 	case order.failed:
 		holder.Fixed = true
 	case state.Layers == order.layers && !state.Changing:
@@ -260,12 +268,12 @@
 	for id, order := range p.pending {
 		if now.After(order.until) {
 			delete(p.pending, id)
-			if !order.failed {
+			if !order.failed && !order.foreign {
 				log.Event("order did not show", "target", id, "from", order.layers.From, "to", order.layers.To)
 			}
 			continue
 		}
-		busy = busy || !order.failed
+		busy = busy || !order.failed && !order.foreign
 	}
 	return busy
 }
@@ -312,13 +320,17 @@
 	}
 	if report.Changing || report.Layers != target.Layers {
 		// The entry of the engine is behind what it does.
-		p.note(target, pending{layers: order.Layers, failed: true, until: boottime.Now().Add(failurePause)})
+		result := pending{layers: order.Layers, failed: true, until: boottime.Now().Add(failurePause)}
+		if report.Changing {
+			result = pending{foreign: true, listed: target.Layers, until: boottime.Now().Add(p.patience(target, order.Layers, true))}
+		}
+		p.note(target, result)
 		log.Event("entry of engine is stale", "target", target.ID, "changing", report.Changing,
 			"holds", report.Layers, "listed", target.Layers)
 		return
 	}
 	outcome, err := p.options.Engines.Place(ctx, target, order.Layers, fencing, report.Orders)
-	result := pending{layers: order.Layers, until: boottime.Now().Add(p.patience(target, order.Layers))}
+	result := pending{layers: order.Layers, until: boottime.Now().Add(p.patience(target, order.Layers, outcome == Begun))}
 	reason := ""
 	if err != nil {
 		reason = err.Error()
@@ -341,13 +353,17 @@
 	p.pending[target.ID] = order
 }
 
-// patience returns how long an order may take to show in the engine's entry.
-func (p *Placer) patience(target fleet.Target, layers entity.LayerRange) time.Duration {
+// patience returns how long an order may take to show in the engine's entry; begun says that the engine carries it out.
+func (p *Placer) patience(target fleet.Target, layers entity.LayerRange, begun bool) time.Duration {
 	expected := time.Duration(0)
 	if c := p.options.View.Configuration(); c != nil && c.Services[target.Service] != nil {
 		if engine := c.Services[target.Service].Engine; engine != nil {
 			expected = engine.LoadTime * time.Duration(layers.Len()) / time.Duration(max(1, engine.Layers))
 		}
 	}
-	return max(minLoadTime, loadPatience*expected)
+	patience := max(minLoadTime, loadPatience*expected)
+	if begun && target.Layers.Len() > 0 {
+		patience += leavePatience
+	}
+	return patience
 }
--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -33,6 +33,9 @@
 	silent bool
 	// late holds an order that got no answer and is carried out by carryOut.
 	late func()
+	// slow engines give up what they hold at once, and hold the layers of an order only when loaded is called.
+	slow   bool
+	loaded func()
 }
 
 func newWorld(engines int) *world {
@@ -78,7 +81,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	e := w.engines[target.ID]
-	return fleet.Report{Born: e.target.Born, Layers: e.target.Layers, Orders: e.orders}, nil
+	return fleet.Report{Born: e.target.Born, Layers: e.target.Layers, Orders: e.orders, Changing: e.loaded != nil}, nil
 }
 
 func (w *world) Place(_ context.Context, target fleet.Target, to entity.LayerRange, _ uint64,
@@ -93,6 +96,10 @@
 		}
 		e.orders++
 		e.target.Layers = to
+		if e.slow {
+			e.target.Layers = entity.LayerRange{}
+			e.loaded = func() { e.target.Layers, e.loaded = to, nil }
+		}
 		return true
 	}
 	if e.silent {
@@ -282,3 +289,37 @@
 		t.Fatalf("nobody places the layers: %v", w.given)
 	}
 }
+
+// TestServingEnginesWaitForASlowOne guards that while an engine takes long to hold the layers of a gap, since streams pass
+// through those it gives up, no further engine that serves is taken out of service for the same gap: not by the instance that
+// gave the order, and not by one that took over the lease and does not know the order. On abay-cost, scale-2, four engines
+// went out of service in turn for up to ten seconds each.
+func TestServingEnginesWaitForASlowOne(t *testing.T) {
+	t.Parallel()
+	// All engines hold the first half of the model; the second half is lost.
+	w := newWorld(4)
+	for _, e := range w.engines {
+		e.target.Layers, e.slow = entity.LayerRange{To: 4}, true
+	}
+	first, second := newView(), newView()
+	placer := newPlacer(w, first, "d0", 0)
+	if !run(t, w, []*view{first}, []*Placer{placer}, 10*time.Second, func() bool { return len(w.given) > 0 }) {
+		t.Fatal("no order for the lost layers")
+	}
+	run(t, w, []*view{first}, []*Placer{placer}, minLoadTime+time.Second, func() bool { return len(w.given) > 1 })
+	next := newPlacer(w, second, "d1", 0)
+	run(t, w, []*view{second}, []*Placer{next}, 2*leaseDuration, func() bool { return len(w.given) > 1 })
+	if len(w.given) != 1 {
+		t.Errorf("orders %v although the first one is carried out", w.given)
+	}
+	w.mu.Lock()
+	for _, e := range w.engines {
+		if e.loaded != nil {
+			e.loaded()
+		}
+	}
+	w.mu.Unlock()
+	if !w.covered() {
+		t.Error("the layers are not covered in the end")
+	}
+}
