Leave out engines that do not answer, place their layers early, limit full ones

Two beliefs were wrong. Many streams that stalled at once suspected the engine many times, and full engines were suspected like lost ones: with all holders of a layer suspected, the lost one looked least loaded. And its layers were not placed elsewhere before the list dropped it, after 3.6 s.

Change: an engine that gives no report is down: it gets no streams until it does, and after 1.2 s its layers are placed elsewhere unless most of its zone is silent. An engine that refuses at once is asked for its report; one that answers keeps the streams that it has, plus a slowly growing number.

Ruled out: that the engine was full; its streams fell from 24 to 2 while it refused.

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -151,7 +151,8 @@
 	d.states, d.nodes = d.states[:0], d.nodes[:0]
 	for id, state := range d.Fleet.All {
 		card, known := service.Engine.Cards[state.Card]
-		if state.Service != service.ID || !known || state.Layers.Len() == 0 || avoid[id] || !state.Listed(now) {
+		if state.Service != service.ID || !known || state.Layers.Len() == 0 || avoid[id] || !state.Listed(now) ||
+			state.Down(now) {
 			continue
 		}
 		node := layerpath.Node{Index: len(d.states), Layers: state.Layers, Zone: state.Zone}
@@ -159,6 +160,9 @@
 		node.PerLayer = layerCost(service.Engine, card, size, sequences)
 		room := service.Engine.CacheRoom(card, state.Layers.Len()) - cache
 		node.Room = max(0, int(room/max(1, size.Prompt+size.Answer)))
+		if state.Full(now) {
+			node.Room = 0
+		}
 		node.PerLayer *= min(maxSlowCost, state.SlowBy(now))
 		switch {
 		case !state.Usable(now):
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -77,13 +77,15 @@
 
 	failures     int
 	suspectUntil time.Time
+	limit        limit
+	reach        reach
 	// goneAt is when a target that left the list during an outage stops being used; zero for listed targets.
 	goneAt time.Time
 }
 
 // Usable says whether the target may get new work at the time now.
 func (s *State) Usable(now time.Time) bool {
-	return s.Listed(now) && !now.Before(s.suspectUntil)
+	return s.Listed(now) && !now.Before(s.suspectUntil) && !s.Down(now)
 }
 
 // Listed says whether the target may be used at all, even if it is suspected.
@@ -122,7 +124,7 @@
 	state.Target = target
 	state.goneAt = time.Time{}
 	if restarted {
-		state.failures, state.suspectUntil = 0, time.Time{}
+		state.failures, state.suspectUntil, state.limit, state.reach = 0, time.Time{}, limit{}, reach{}
 	}
 }
 
@@ -191,7 +193,7 @@
 func (f *Fleet) OwnLoads(now time.Time) loadshare.Loads {
 	loads := loadshare.Loads{}
 	for id, state := range f.targets.All {
-		load := loadshare.Load{Suspected: now.Before(state.suspectUntil)}
+		load := loadshare.Load{Suspected: now.Before(state.suspectUntil) || state.Down(now)}
 		if state.CacheInUse > 0 {
 			load.Sequences, load.Cache = int32(state.InProgress), float32(state.CacheInUse)
 		}
@@ -224,6 +226,7 @@
 	if state == nil || (report.Born != 0 && report.Born != state.Born) {
 		return false
 	}
+	state.reach = reach{}
 	before := state.Slowdown >= slowFrom
 	state.Slowdown, state.SlowAt = report.Slowdown, now
 	return before != (report.Slowdown >= slowFrom)
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -164,6 +164,7 @@
 		}
 	})
 	d.running.Go(func() { d.sweep(ctx) })
+	d.running.Go(func() { d.gateway.WatchDown(ctx) })
 	d.running.Go(func() { boottime.WatchPauses(ctx, d.paused) })
 	log.Event("started", "daemon", d.settings.Daemon, "zone", d.settings.Zone, "front", d.settings.Front,
 		"store", d.settings.Store.Address, "memoryMB", d.settings.MemoryMB)
--- a/internal/edge/reroute_test.go
+++ b/internal/edge/reroute_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -117,3 +118,28 @@
 	d.wait("the spare engine is known", func() bool { return daemon.knownLayers() == before+to-from })
 	return engine
 }
+
+// TestLostEngineIsLeftOut guards that after one stream has found an engine not to answer, further ones are not sent through
+// it: each would come back unserved and use up a repetition (abay-cost, scale-2: 228 in two seconds).
+func TestLostEngineIsLeftOut(t *testing.T) {
+	t.Parallel()
+	d := newDeployment(t)
+	daemon := d.placed()
+	first, second := d.path(daemon)
+	first.SetFaults(edgeplatform.TargetFaults{WaitFor: second.Address(), HideWait: true})
+	second.Close()
+	if got := d.stream(daemon, "s0"); got.status != http.StatusOK {
+		t.Fatalf("stream: %+v", got)
+	}
+	for end := time.Now().Add(3 * time.Second); time.Now().Before(end); time.Sleep(200 * time.Millisecond) {
+		id := fmt.Sprint("s", time.Now().UnixNano())
+		if got := d.stream(daemon, id); got.status != http.StatusOK {
+			t.Fatalf("stream: %+v", got)
+		}
+		for _, run := range d.runsOf(id) {
+			if strings.Contains(run.Hops, second.Address()+"=") {
+				t.Fatalf("a stream was sent through the lost engine: %s", run.Hops)
+			}
+		}
+	}
+}
--- a/internal/gateway/inspect.go
+++ b/internal/gateway/inspect.go
@@ -23,6 +23,9 @@
 	// reportLife is how long a report serves all streams that ask. Engines give reports that are some hundred
 	// milliseconds old, and each costs a priced call.
 	reportLife = 500 * time.Millisecond
+	// downProbe is the time between two questions to an engine that does not answer, for each instancesPerProbe instances.
+	downProbe         = 600 * time.Millisecond
+	instancesPerProbe = 16
 )
 
 // Engines reads reports of engines and reroutes requests.
@@ -71,6 +74,8 @@
 		i.mu.Unlock()
 		if err == nil {
 			i.gateway.noteReport(target, report)
+		} else {
+			i.gateway.noteSilence(target, err)
 		}
 		return made, nil
 	})
@@ -88,20 +93,58 @@
 	}
 }
 
-// InspectSlow asks the engines that this instance has found to be slow again, so that they are used once they recover.
-func (g *Gateway) InspectSlow(ctx context.Context) {
+// noteSilence notes that an engine gave no report.
+func (g *Gateway) noteSilence(target fleet.Target, err error) {
 	g.mu.Lock()
-	slow := g.dispatcher.Fleet.Slow(boottime.Now())
+	news := g.dispatcher.Fleet.Unreachable(boottime.Now(), target.ID, g.downProbe()+reportLife+reportTimeout)
 	g.mu.Unlock()
-	for _, target := range slow {
+	if news {
+		log.Event("engine does not answer", "target", target.ID, "born", target.Born, "error", err.Error())
+	}
+}
+
+// downProbe returns the time between two questions to an engine that does not answer. It grows with the number of
+// instances, which all ask.
+func (g *Gateway) downProbe() time.Duration {
+	return downProbe * time.Duration(1+g.known/instancesPerProbe)
+}
+
+// WatchDown asks engines that do not answer again, until ctx ends, so that they are used once they do.
+func (g *Gateway) WatchDown(ctx context.Context) {
+	for {
+		g.mu.Lock()
+		down, pause := g.dispatcher.Fleet.DownTargets(boottime.Now()), g.downProbe()
+		g.mu.Unlock()
+		g.inspectAll(ctx, down)
+		timer := time.NewTimer(pause)
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+			return
+		}
+	}
+}
+
+// inspectAll asks engines without waiting for their reports.
+func (g *Gateway) inspectAll(ctx context.Context, targets []fleet.Target) {
+	for _, target := range targets {
 		go func() {
 			if _, err := g.inspector.inspect(ctx, target); err != nil {
-				log.Debugf("Slow engine %s gave no report: %v.", target.ID, err)
+				log.Debugf("Engine %s gave no report: %v.", target.ID, err)
 			}
 		}()
 	}
 }
 
+// InspectSlow asks the engines that this instance has found to be slow again, so that they are used once they recover.
+func (g *Gateway) InspectSlow(ctx context.Context) {
+	g.mu.Lock()
+	slow := g.dispatcher.Fleet.Slow(boottime.Now())
+	g.mu.Unlock()
+	g.inspectAll(ctx, slow)
+}
+
 // faults asks the engines of a path why the request makes no progress. It returns the engines at fault, none if all answer
 // and none is named.
 func (i *inspector) faults(ctx context.Context, requestID string, targets []fleet.Target) (faults []fleet.Target) {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -29,6 +29,8 @@
 	pathWait    = time.Second
 	pathRetry   = 100 * time.Millisecond
 	eventBuffer = 2 << 10
+	// maxShedTime tells an engine that refuses by itself, which it does at once, from one that has waited for a lost engine.
+	maxShedTime = time.Second
 )
 
 var errNoPath = errors.New("no engines cover all layers")
@@ -117,13 +119,14 @@
 		requestID: s.ID, targets: s.targets, patience: s.patience, reroute: s.reroute, giveUp: cancel,
 	})
 	defer s.watchdog.stop()
+	sent := time.Now()
 	x, err := s.gateway.send(attemptCtx, s.newAttempt(path), false, s.left())
 	if err != nil {
 		return s.broken(ctx, err)
 	}
 	if x.reply.NotRun {
 		x.abort()
-		s.blame(x.reply.FaultAddress, "the path did not run the request")
+		s.refused(ctx, x.reply, time.Since(sent))
 		s.last, s.lastKind = errors.New("the path did not run the request"), errkind.Overloaded
 		return false, true
 	}
@@ -317,6 +320,22 @@
 	return false, s.mayRunAgain()
 }
 
+// refused notes which engine did not take the request, after the time that its answer took. One that refuses at once has no
+// room or is lost; its report tells.
+func (s *stream) refused(ctx context.Context, reply Reply, after time.Duration) {
+	target, found := s.currentPath().Target(reply.FaultAddress)
+	if !found || reply.Status != http.StatusServiceUnavailable || after > maxShedTime {
+		s.blame(reply.FaultAddress, "the path did not run the request")
+		return
+	}
+	s.gateway.mu.Lock()
+	s.avoid[target.ID] = true
+	s.gateway.dispatcher.Fleet.Shed(boottime.Now(), target.ID)
+	s.gateway.mu.Unlock()
+	log.Event("engine refused a stream", "target", target.ID, "request", s.ID, "ms", after.Milliseconds())
+	s.gateway.inspectAll(context.WithoutCancel(ctx), []fleet.Target{target})
+}
+
 // blame notes which engine of the attempt's path failed: the one at address. Without one this stream avoids the whole path.
 func (s *stream) blame(address, reason string) {
 	path := s.currentPath()
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -202,12 +202,13 @@
 	holders := make(map[entity.ServiceID][]placement.Holder)
 	targets := make(map[entity.TargetID]fleet.Target)
 	p.options.View.WithFleet(func(f *fleet.Fleet) {
+		lost := f.Lost(now)
 		for id, state := range f.All {
 			service := configuration.Services[state.Service]
 			if service == nil || service.Engine == nil {
 				continue
 			}
-			holders[service.ID] = append(holders[service.ID], p.holder(now, state))
+			holders[service.ID] = append(holders[service.ID], p.holder(now, state, lost[id]))
 			targets[id] = state.Target
 		}
 	})
@@ -223,11 +224,11 @@
 	return orders, targets
 }
 
-func (p *Placer) holder(now time.Time, state *fleet.State) placement.Holder {
+func (p *Placer) holder(now time.Time, state *fleet.State, lost bool) placement.Holder {
 	holder := placement.Holder{
 		ID: state.ID, Zone: state.Zone, Card: state.Card, Held: state.Layers,
 		Fixed: state.Changing || !state.Usable(now),
-		Lost:  !state.Listed(now),
+		Lost:  lost,
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
