Reroute streams from engines that give up layers

Change: when the entry of an engine shows that it gives up layers, each instance reroutes its streams that run them, each at a moment of its own within 0.6 s.

--- a/core/dispatch/reroute.go
+++ b/core/dispatch/reroute.go
@@ -100,6 +100,16 @@
 	return targets
 }
 
+// RunsOthers says whether the path runs layers on an engine that are not among those the engine holds.
+func (p *Path) RunsOthers(id entity.TargetID, held entity.LayerRange) bool {
+	for _, stage := range p.Stages {
+		if stage.Target.ID == id {
+			return stage.Layers.From < held.From || stage.Layers.To > held.To
+		}
+	}
+	return false
+}
+
 // Target returns the engine of a path with the given address.
 func (p *Path) Target(address string) (fleet.Target, bool) {
 	i := slices.IndexFunc(p.Stages, func(stage Stage) bool { return stage.Target.Address == address })
--- a/internal/edge/observers.go
+++ b/internal/edge/observers.go
@@ -88,6 +88,9 @@
 	if before.Address != "" && before.Address != target.Address {
 		o.pool.Forget(before.Address)
 	}
+	if before.Born == target.Born && before.Layers.Len() > 0 && before.Layers != target.Layers {
+		o.gateway.Evacuate(target)
+	}
 	log.Event("target changed", "target", id, "service", target.Service, "address", target.Address, "zone", target.Zone,
 		"card", target.Card, "from", target.Layers.From, "to", target.Layers.To, "draining", target.Draining,
 		"changing", target.Changing, "row", row.Version)
--- a/internal/edge/reroute_test.go
+++ b/internal/edge/reroute_test.go
@@ -119,6 +119,37 @@
 	return engine
 }
 
+// TestStreamsLeaveAnEngineThatGivesUpLayers guards that a stream is rerouted when an engine of its path gives up the layers
+// that the stream runs there. The engine loads others only when no stream passes through it: on abay-cost, scale-2, that took
+// 6 to 15 s, in which it served nobody.
+func TestStreamsLeaveAnEngineThatGivesUpLayers(t *testing.T) {
+	t.Parallel()
+	d := newDeployment(t)
+	daemon := d.placed()
+	first, second := d.path(daemon)
+	d.spare(daemon, 8, "a", second)
+	first.SetFaults(edgeplatform.TargetFaults{StallAfter: 2, WaitFor: second.Address(), HideWait: true})
+	got := make(chan result, 1)
+	go func() { got <- d.stream(daemon, "s1") }()
+	d.wait("the stream runs", func() bool { return len(d.runsOf("s1")) > 0 })
+	second.Hold(0, 0, 4)
+	d.list(second, "ready")
+	changed := time.Now()
+	d.wait("the stream is rerouted", func() bool { return len(first.Reroutes()) > 0 })
+	// The daemon reads changes of the list at most once in minCoalesce.
+	if took := time.Since(changed); took > minCoalesce+time.Second {
+		t.Errorf("the stream left after %v", took)
+	}
+	result := <-got
+	if result.status != http.StatusOK || result.err != nil {
+		t.Fatalf("stream: %+v", result)
+	}
+	checkEvents(t, result.body)
+	if runs := d.runsOf("s1"); len(runs) != 1 {
+		t.Errorf("%d runs", len(runs))
+	}
+}
+
 // TestLostEngineIsLeftOut guards that after one stream has found an engine not to answer, further ones are not sent through
 // it: each would come back unserved and use up a repetition (abay-cost, scale-2: 228 in two seconds).
 func TestLostEngineIsLeftOut(t *testing.T) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -75,8 +75,9 @@
 	// started is the start of the process, or earlier if there was none before it.
 	started   time.Time
 	inspector *inspector
-	// running holds the requests in progress.
+	// running holds the requests in progress, streams the attempts at streams.
 	running map[*request]struct{}
+	streams map[*stream]struct{}
 }
 
 // New returns a gateway without a configuration.
@@ -87,7 +88,7 @@
 		options:    options,
 		dispatcher: &dispatch.Dispatcher{Zone: options.Zone, Fleet: fleet.New()},
 		retries:    make(map[entity.ServiceID]*retry.Window),
-		running:    make(map[*request]struct{}), started: boottime.Now(),
+		running:    make(map[*request]struct{}), streams: make(map[*stream]struct{}), started: boottime.Now(),
 	}
 	if options.FirstStart {
 		g.started = g.started.Add(-options.Retries.Span)
--- a/internal/gateway/reroute.go
+++ b/internal/gateway/reroute.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/hyssophoist/hyssophoist/core/dispatch"
@@ -17,6 +18,9 @@
 	maxRerouteOrders = 3
 	// rerouteTimeout bounds one order. A caller leaves after a pause of two seconds, and a new attempt must still fit.
 	rerouteTimeout = 200 * time.Millisecond
+	// evacuationSpread is the time within which streams leave an engine that gives up layers: some fifty streams, of which
+	// the engines that take over read one in about 10 ms.
+	evacuationSpread = 600 * time.Millisecond
 )
 
 // RerouteOutcome is the result of an order to send a request along another path.
@@ -47,25 +51,33 @@
 // reroute has other engines take the layers of those at fault, on the connection of the attempt. It reports false if the
 // attempt cannot go on so.
 func (s *stream) reroute(ctx context.Context, faults []fleet.Target) bool {
-	fault := make(map[entity.TargetID]bool, len(faults))
+	if !s.leave(ctx, faults) {
+		return false
+	}
 	for _, target := range faults {
-		fault[target.ID] = true
+		s.gateway.failed(target.ID, s.ID, "no progress, the stream was rerouted")
 	}
+	return true
+}
+
+// leave has other engines take the layers of some, on the connection of the attempt.
+func (s *stream) leave(ctx context.Context, targets []fleet.Target) bool {
 	if s.reroutes.Load() >= maxReroutes {
 		return false
 	}
+	left := make(map[entity.TargetID]bool, len(targets))
+	for _, target := range targets {
+		left[target.ID] = true
+	}
 	avoid := make(map[entity.TargetID]bool)
 	for range maxRerouteOrders {
-		old, changed := s.chooseReroute(fault, avoid)
+		old, changed := s.chooseReroute(left, avoid)
 		if changed == nil {
-			log.Event("no other engines for a stalled stream", "request", s.ID, "faults", len(faults), "avoided", len(avoid))
+			log.Event("no other engines for a stream", "request", s.ID, "left", len(left), "avoided", len(avoid))
 			return false
 		}
 		answer, again := s.orderReroute(ctx, old, changed)
 		if answer.Outcome == Rerouted {
-			for _, target := range faults {
-				s.gateway.failed(target.ID, s.ID, "no progress, the stream was rerouted")
-			}
 			return true
 		}
 		if !again {
@@ -73,7 +85,36 @@
 		}
 		if blocking, found := changed.Target(answer.Blocking); found {
 			avoid[blocking.ID] = true
-			fault[blocking.ID] = true // if it was on the old path already
+			left[blocking.ID] = true // if it was on the old path already
+		}
+	}
+	return false
+}
+
+// Evacuate reroutes the streams that run layers on an engine that gives these up. The engine loads others only when no
+// stream passes through it any more, which takes as long as the longest stream. Each stream leaves at a moment of its own
+// within evacuationSpread, since the engines that take over read all its tokens.
+func (g *Gateway) Evacuate(target fleet.Target) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for s := range g.streams {
+		if !s.path.RunsOthers(target.ID, target.Layers) {
+			continue
+		}
+		ctx := s.attempt
+		time.AfterFunc(rand.N(evacuationSpread), func() {
+			if s.passesThrough(target.ID) {
+				s.leave(ctx, []fleet.Target{target})
+			}
+		})
+	}
+}
+
+// passesThrough says whether the attempt in progress uses an engine.
+func (s *stream) passesThrough(id entity.TargetID) bool {
+	for _, target := range s.targets() {
+		if target.ID == id {
+			return true
 		}
 	}
 	return false
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -39,10 +39,11 @@
 type stream struct {
 	*request
 	size dispatch.Generation
-	// avoid holds the engines that failed this stream, path is the path of the attempt in progress. Both are guarded by the
-	// mutex of the gateway.
-	avoid map[entity.TargetID]bool
-	path  *dispatch.Path
+	// avoid holds the engines that failed this stream, path is the path of the attempt in progress and attempt its context.
+	// They are guarded by the mutex of the gateway.
+	avoid   map[entity.TargetID]bool
+	path    *dispatch.Path
+	attempt context.Context
 	// reroutes counts the changes of path within an attempt.
 	reroutes atomic.Int32
 	// resumable says that another attempt may follow the one in progress.
@@ -77,7 +78,7 @@
 	}
 	s.size = dispatch.EstimateGeneration(q.service.Engine, q.PromptTokens, q.ExpectedTokens, q.MaxTokens)
 	for {
-		done, again := s.attempt(ctx)
+		done, again := s.try(ctx)
 		if done {
 			return
 		}
@@ -102,8 +103,8 @@
 	}
 }
 
-// attempt sends the stream along one path. done says that the request has ended, again that another attempt is allowed.
-func (s *stream) attempt(ctx context.Context) (done, again bool) {
+// try sends the stream along one path. done says that the request has ended, again that another attempt is allowed.
+func (s *stream) try(ctx context.Context) (done, again bool) {
 	path := s.awaitPath(ctx)
 	if path == nil {
 		s.last, s.lastKind = errNoPath, errkind.NoCapacity
@@ -115,6 +116,7 @@
 	s.resumable = s.route.Repeatable() && s.runs+1 < s.route.MaxAttempts
 	attemptCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	s.enlist(attemptCtx)
 	s.watchdog = s.gateway.inspector.watch(attemptCtx, watched{
 		requestID: s.ID, targets: s.targets, patience: s.patience, reroute: s.reroute, giveUp: cancel,
 	})
@@ -175,10 +177,19 @@
 	return s.path
 }
 
+// enlist makes the attempt known to Evacuate, until release.
+func (s *stream) enlist(ctx context.Context) {
+	s.gateway.mu.Lock()
+	defer s.gateway.mu.Unlock()
+	s.attempt = ctx
+	s.gateway.streams[s] = struct{}{}
+}
+
 // release ends the reservation of the attempt's path.
 func (s *stream) release() {
 	s.gateway.mu.Lock()
 	defer s.gateway.mu.Unlock()
+	delete(s.gateway.streams, s)
 	s.gateway.dispatcher.Release(s.path)
 	s.path = nil
 }
