Ask early for the engines through which nothing moves

Cause: a stall was looked into after 250 ms, so a stream that was rerouted had a pause of 300 ms or more; callers want 200 (250 on grown deployments).

Change: after 2.5 usual pauses of a stream, at least 90 ms, those engines of its path are asked through which no other stream of the instance makes progress. All of them are asked after 250 ms as before.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -63,7 +63,9 @@
 
 // Gateway serves callers. It is safe for concurrent use.
 type Gateway struct {
-	options       Options
+	options Options
+	// created is the origin of the time that age returns.
+	created       time.Time
 	configuration atomic.Pointer[routing.Configuration]
 	stopping      atomic.Bool
 
@@ -85,7 +87,7 @@
 	options.Retries.Ratio *= limitShare
 	options.Retries.Slack *= limitShare
 	g := &Gateway{
-		options:    options,
+		options: options, created: time.Now(),
 		dispatcher: &dispatch.Dispatcher{Zone: options.Zone, Fleet: fleet.New()},
 		retries:    make(map[entity.ServiceID]*retry.Window),
 		running:    make(map[*request]struct{}), streams: make(map[*stream]struct{}), started: boottime.Now(),
@@ -97,6 +99,9 @@
 	return g
 }
 
+// age returns the time since the gateway was made, on the monotonic clock.
+func (g *Gateway) age() time.Duration { return time.Since(g.created) }
+
 // Configure puts a configuration in force unless it is older than the one in force.
 func (g *Gateway) Configure(configuration *routing.Configuration) bool {
 	current := g.configuration.Load()
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -55,8 +55,10 @@
 	events    int
 	control   *http.ResponseController
 	watchdog  *watchdog
-	// moving says that an event has been passed on.
-	moving atomic.Bool
+	// moving says that an event has been passed on, movedAt when the last one was, in nanoseconds of the
+	// gateway's age.
+	moving  atomic.Bool
+	movedAt atomic.Int64
 	// firstEvent is the time from arrival to the first event, longestPause the longest pause behind it.
 	firstEvent, longestPause time.Duration
 	lastAt                   time.Time
@@ -118,7 +120,7 @@
 	defer cancel()
 	s.enlist(attemptCtx)
 	s.watchdog = s.gateway.inspector.watch(attemptCtx, watched{
-		requestID: s.ID, targets: s.targets, patience: s.patience, reroute: s.reroute, giveUp: cancel,
+		requestID: s.ID, targets: s.targets, silent: s.silent, patience: s.patience, reroute: s.reroute, giveUp: cancel,
 	})
 	defer s.watchdog.stop()
 	sent := time.Now()
@@ -274,6 +276,7 @@
 	now := time.Now()
 	s.watchdog.moved()
 	s.moving.Store(true)
+	s.movedAt.Store(int64(s.gateway.age()))
 	if !s.begun {
 		s.firstEvent = now.Sub(s.arrived)
 		s.begin(x)
