Find silent connections to the store by what other instances know; handle hangup signals from the start

Change: each exchange of loads carries the highest version of a row that the instance has seen in the tables of the operator and of the targets. An instance whose call has waited for 250 ms while others know a newer row gives the call up and its kept connections too. A new configuration is passed on at once. Signals are handled before anything else.

--- a/core/loadshare/loadshare.go
+++ b/core/loadshare/loadshare.go
@@ -50,6 +50,11 @@
 	}
 }
 
+// Versions are the highest versions of rows that an instance has seen in the tables of the store.
+type Versions struct {
+	Configuration, Targets uint64
+}
+
 // Member is an instance.
 type Member struct {
 	ID   entity.DaemonID
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -31,7 +31,6 @@
 	"github.com/hyssophoist/hyssophoist/internal/logging"
 	"github.com/hyssophoist/hyssophoist/internal/placer"
 	"github.com/hyssophoist/hyssophoist/internal/settings"
-	"github.com/hyssophoist/hyssophoist/internal/watch"
 	"github.com/hyssophoist/hyssophoist/platform"
 )
 
@@ -46,12 +45,6 @@
 	headerTimeout  = 10 * time.Second
 	idleTimeout    = 90 * time.Second
 	maxHeaderBytes = 64 << 10
-	// minCoalesce is the least time between two readings of a table's changes, so that changes in quick succession cost each
-	// instance one call. It grows by coalescePerInstance, since each change costs a call of each instance, up to
-	// maxCoalesceShare of the time within which a change must be known.
-	minCoalesce         = 300 * time.Millisecond
-	coalescePerInstance = 4 * time.Millisecond
-	maxCoalesceShare    = 0.3
 	// memoryShare is the part of the process's memory at which the garbage collector works harder.
 	memoryShare  = 0.6
 	sweepPeriod  = time.Second
@@ -66,6 +59,7 @@
 	gateway  *gateway.Gateway
 	pool     *connpool.Pool
 	store    *platform.Store
+	tables   *tables
 	placer   *placer.Placer
 	sharer   *loadshare.Sharer
 	metrics  *Metrics
@@ -79,7 +73,7 @@
 
 // Module wires an edge daemon from its settings.
 var Module = fx.Module("edge",
-	fx.Provide(newMetrics, newPool, newEngines, newGateway, newStore, newPlacer, newSharer, newDaemon),
+	fx.Provide(newMetrics, newPool, newEngines, newGateway, newStore, newTables, newPlacer, newSharer, newDaemon),
 )
 
 func newPool(m *Metrics) *connpool.Pool {
@@ -110,19 +104,21 @@
 	})
 }
 
-func newSharer(s *settings.Edge, g *gateway.Gateway, store *platform.Store) *loadshare.Sharer {
+func newSharer(s *settings.Edge, g *gateway.Gateway, store *platform.Store, t *tables) *loadshare.Sharer {
 	return loadshare.New(loadshare.Options{
 		Self: members.Member{
 			ID: entity.DaemonID(s.Daemon), Zone: entity.ZoneID(s.Zone), Address: s.Peer,
 			Incarnation: uint64(time.Now().UnixNano()),
 		},
-		View: g, Table: store,
+		View: g, Table: store, Tables: t,
 	})
 }
 
 func newDaemon(lifecycle fx.Lifecycle, s *settings.Edge, g *gateway.Gateway, pool *connpool.Pool, store *platform.Store,
-	p *placer.Placer, sharer *loadshare.Sharer, m *Metrics) *Daemon {
-	d := &Daemon{settings: s, gateway: g, pool: pool, store: store, placer: p, sharer: sharer, metrics: m}
+	t *tables, p *placer.Placer, sharer *loadshare.Sharer, m *Metrics) *Daemon {
+	d := &Daemon{
+		settings: s, gateway: g, pool: pool, store: store, tables: t, placer: p, sharer: sharer, metrics: m,
+	}
 	lifecycle.Append(fx.Hook{OnStart: d.start, OnStop: d.stop})
 	return d
 }
@@ -151,12 +147,8 @@
 			return err
 		}
 	}
-	d.running.Go(func() {
-		watch.Run(ctx, d.store, platform.OperatorTable, d.coalesce(d.settings.ConfigurationBound), (*configurationObserver)(d))
-	})
-	d.running.Go(func() {
-		watch.Run(ctx, d.store, platform.TargetsTable, d.coalesce(d.settings.DrainBound), (*targetObserver)(d))
-	})
+	d.running.Go(func() { d.tables.configuration.Run(ctx, (*configurationObserver)(d)) })
+	d.running.Go(func() { d.tables.targets.Run(ctx, (*targetObserver)(d)) })
 	d.running.Go(func() { d.placer.Run(ctx) })
 	d.running.Go(func() {
 		if err := d.sharer.Run(ctx); err != nil {
@@ -171,14 +163,6 @@
 	return nil
 }
 
-// coalesce gives the least time between two readings of a table whose changes must be known within bound.
-func (d *Daemon) coalesce(bound settings.Duration) func() time.Duration {
-	most := time.Duration(maxCoalesceShare * float64(bound))
-	return func() time.Duration {
-		return min(most, max(minCoalesce, time.Duration(d.gateway.Instances())*coalescePerInstance))
-	}
-}
-
 func http1() *http.Protocols {
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
@@ -272,6 +256,10 @@
 // Run runs an edge daemon with the settings file at path until ctx ends, then shuts it down gracefully. A hangup signal
 // makes it read its settings again.
 func Run(ctx context.Context, path string) error {
+	// First of all, since a hangup signal ends a process that does not handle it.
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
+	defer signal.Stop(hangup)
 	s, err := settings.LoadEdge(path)
 	if err != nil {
 		return err
@@ -288,9 +276,6 @@
 	if err := app.Err(); err != nil {
 		return dig.RootCause(err)
 	}
-	hangup := make(chan os.Signal, 1)
-	signal.Notify(hangup, syscall.SIGHUP)
-	defer signal.Stop(hangup)
 	if err := app.Start(ctx); err != nil {
 		return err
 	}
--- a/internal/edge/observers.go
+++ b/internal/edge/observers.go
@@ -27,6 +27,7 @@
 		}
 		if o.gateway.Configure(configuration) {
 			o.metrics.ConfigurationVersion.Set(float64(configuration.Version))
+			o.sharer.Announce()
 			log.Event("configuration in force", "version", configuration.Version, "row", row.Version, "store", version)
 		}
 	}
@@ -35,6 +36,7 @@
 // Lost implements watch.Observer.
 func (o *configurationObserver) Lost(error) {
 	o.metrics.StoreErrors.WithLabelValues("configuration").Inc()
+	o.store.DropConnections()
 }
 
 // Confirmed implements watch.Observer.
@@ -99,6 +101,7 @@
 // Lost implements watch.Observer.
 func (o *targetObserver) Lost(error) {
 	o.metrics.StoreErrors.WithLabelValues("targets").Inc()
+	o.store.DropConnections()
 	o.gateway.WithFleet(func(f *fleet.Fleet) { f.StoreFailed(boottime.Now()) })
 }
 
--- /dev/null
+++ b/internal/edge/tables.go
@@ -0,0 +1,51 @@
+package edge
+
+import (
+	"time"
+
+	"github.com/hyssophoist/hyssophoist/core/loadshare"
+	"github.com/hyssophoist/hyssophoist/internal/gateway"
+	"github.com/hyssophoist/hyssophoist/internal/settings"
+	"github.com/hyssophoist/hyssophoist/internal/watch"
+	"github.com/hyssophoist/hyssophoist/platform"
+)
+
+const (
+	// minCoalesce is the least time between two readings of a table's changes, so that changes in quick succession cost each
+	// instance one call. It grows by coalescePerInstance, since each change costs a call of each instance, up to
+	// maxCoalesceShare of the time within which a change must be known.
+	minCoalesce         = 300 * time.Millisecond
+	coalescePerInstance = 4 * time.Millisecond
+	maxCoalesceShare    = 0.3
+)
+
+// tables holds the watchers of the tables that operators and targets write.
+type tables struct {
+	configuration, targets *watch.Watcher
+}
+
+func newTables(s *settings.Edge, g *gateway.Gateway, store *platform.Store) *tables {
+	return &tables{
+		configuration: watch.New(store, platform.OperatorTable, coalesce(g, s.ConfigurationBound)),
+		targets:       watch.New(store, platform.TargetsTable, coalesce(g, s.DrainBound)),
+	}
+}
+
+// coalesce gives the least time between two readings of a table whose changes must be known within bound.
+func coalesce(g *gateway.Gateway, bound settings.Duration) func() time.Duration {
+	most := time.Duration(maxCoalesceShare * float64(bound))
+	return func() time.Duration {
+		return min(most, max(minCoalesce, time.Duration(g.Instances())*coalescePerInstance))
+	}
+}
+
+// Newest implements loadshare.Tables.
+func (t *tables) Newest() loadshare.Versions {
+	return loadshare.Versions{Configuration: t.configuration.Newest(), Targets: t.targets.Newest()}
+}
+
+// Heard implements loadshare.Tables.
+func (t *tables) Heard(versions loadshare.Versions) {
+	t.configuration.Heard(versions.Configuration)
+	t.targets.Heard(versions.Targets)
+}
--- a/internal/emulator/edgeplatform/target.go
+++ b/internal/emulator/edgeplatform/target.go
@@ -46,6 +46,7 @@
 type Run struct {
 	RequestID, Tenant, Path, LastEvent, Hops string
 	Body                                     string
+	At                                       time.Time
 }
 
 // Target is a model engine or one target of a plain service. It is safe for concurrent use.
@@ -60,12 +61,16 @@
 
 	server *httptest.Server
 	mu     sync.Mutex
-	faults TargetFaults
-	runs   []Run
-	from   int
-	to     int
-	orders int
-	most   int
+	// advertised is the host:port in the target's entry, born the number of its start.
+	advertised string
+	born       int
+	faults     TargetFaults
+	runs       []Run
+	arrivals   []Arrival
+	from       int
+	to         int
+	orders     int
+	most       int
 	// working counts the requests in progress.
 	working int
 	// waiting holds the streams that wait for another engine; a new path is sent to their channel.
@@ -76,17 +81,55 @@
 
 // NewTarget starts a target.
 func NewTarget(id, service, zone, card string, events int) *Target {
-	t := &Target{ID: id, Service: service, Zone: zone, Card: card, Events: events, waiting: make(map[string]chan string)}
+	t := &Target{
+		ID: id, Service: service, Zone: zone, Card: card, Events: events, born: 1, waiting: make(map[string]chan string),
+	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /api/report", t.report)
 	mux.HandleFunc("POST /api/order", t.order)
 	mux.HandleFunc("/", t.serve)
 	t.server = httptest.NewServer(mux)
+	t.advertised = t.server.Listener.Addr().String()
 	return t
 }
 
-// Address returns the host:port of the target.
-func (t *Target) Address() string { return t.server.Listener.Addr().String() }
+// Address returns the host:port in the target's entry.
+func (t *Target) Address() string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.advertised
+}
+
+// Advertise puts another address into the target's entry, that of a proxy before it, and returns the address at which the
+// target listens.
+func (t *Target) Advertise(address string) (listens string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.advertised = address
+	return t.server.Listener.Addr().String()
+}
+
+// Restart breaks all connections off and makes the target forget what it held, as after a crash.
+func (t *Target) Restart() {
+	t.server.CloseClientConnections()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.born++
+	t.from, t.to, t.orders = 0, 0, 0
+}
+
+// Arrival is a request that has reached a target, whether it ran or not.
+type Arrival struct {
+	RequestID string
+	At        time.Time
+}
+
+// Arrivals returns the requests that have reached the target.
+func (t *Target) Arrivals() []Arrival {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return append([]Arrival(nil), t.arrivals...)
+}
 
 // Close kills the target: open connections are reset and new ones refused.
 func (t *Target) Close() {
@@ -134,7 +177,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	entry := map[string]any{
-		"service": t.Service, "addr": t.Address(), "zone": t.Zone, "version": "v1", "slots": 8, "state": state, "born": 1,
+		"service": t.Service, "addr": t.advertised, "zone": t.Zone, "version": "v1", "slots": 8, "state": state, "born": t.born,
 	}
 	if t.Card != "" {
 		entry["routeKind"] = t.Card
@@ -148,7 +191,7 @@
 func (t *Target) report(w http.ResponseWriter, _ *http.Request) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	body := map[string]any{"seq": t.orders, "busy": false, "born": 1, "pace": 1.0}
+	body := map[string]any{"seq": t.orders, "busy": false, "born": t.born, "pace": 1.0}
 	if t.to > t.from {
 		body["layers"] = map[string]any{"from": t.from, "target": t.to, "version": 1}
 	}
@@ -201,7 +244,7 @@
 	switch {
 	case waiting == nil:
 		w.WriteHeader(http.StatusNotFound)
-	case !strings.HasPrefix(path, t.Address()+"="):
+	case !strings.HasPrefix(path, t.advertised+"="):
 		w.WriteHeader(http.StatusBadRequest)
 	case t.faults.RefuseReroute != "" && strings.Contains(path, t.faults.RefuseReroute+"="):
 		writeJSON(w, http.StatusConflict, map[string]string{"addr": t.faults.RefuseReroute})
@@ -255,11 +298,13 @@
 		t.working--
 	}()
 	faults := t.faults
+	t.arrivals = append(t.arrivals, Arrival{RequestID: r.Header.Get("X-Request-Id"), At: time.Now()})
 	wrong := r.Header.Get("X-Expect-Instance") != t.ID
 	if !wrong && !faults.Refuse {
 		t.runs = append(t.runs, Run{
 			RequestID: r.Header.Get("X-Request-Id"), Tenant: r.Header.Get("X-Tenant"), Path: r.RequestURI,
 			LastEvent: r.Header.Get("Last-Event-Id"), Hops: r.Header.Get("X-Hops"), Body: string(body),
+			At: time.Now(),
 		})
 	}
 	t.mu.Unlock()
--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -46,11 +46,20 @@
 	SetOtherLoads(loads loadshare.Loads, instances loadshare.Instances)
 }
 
+// Tables tells of the tables that each instance follows. Its methods are safe for concurrent use.
+type Tables interface {
+	// Newest returns what this instance has seen, Heard takes what another one has.
+	Newest() loadshare.Versions
+	Heard(versions loadshare.Versions)
+}
+
 // Options configures a Sharer.
 type Options struct {
 	Self  loadshare.Member
 	View  View
 	Table platform.Table
+	// Tables, if set, lets the instances find out that one of them no longer hears of changes.
+	Tables Tables
 	// Listen opens the peer listener at Self.Address; net.Listen if nil.
 	Listen func(network, address string) (net.Listener, error)
 }
@@ -60,7 +69,8 @@
 	From  loadshare.Member
 	Loads loadshare.Loads
 	// Known is the number of instances of the zone that the sender knows.
-	Known int
+	Known    int
+	Versions loadshare.Versions
 }
 
 // ShareReply gives the loads of all other instances.
@@ -69,7 +79,8 @@
 	Others    loadshare.Loads
 	Instances loadshare.Instances
 	// Members is set if the collector knows another number of instances.
-	Members []loadshare.Member
+	Members  []loadshare.Member
+	Versions loadshare.Versions
 }
 
 // ZoneArgs reports the sum of a zone to the collector of another one.
@@ -77,6 +88,7 @@
 	From      loadshare.Member
 	Loads     loadshare.Loads
 	Instances int
+	Versions  loadshare.Versions
 }
 
 // ZoneReply gives the sum of the other zone.
@@ -84,6 +96,7 @@
 	Self      loadshare.Member
 	Loads     loadshare.Loads
 	Instances int
+	Versions  loadshare.Versions
 }
 
 // Sharer exchanges loads with other instances.
@@ -91,8 +104,13 @@
 	options Options
 	client  *peer.Client
 
+	// announce makes Run exchange at once.
+	announce chan struct{}
+
 	mu    sync.Mutex
 	table *loadshare.Table
+	// highest is the highest version of the configuration heard of from others.
+	highest uint64
 }
 
 // New returns a sharer; Run makes it work.
@@ -102,7 +120,7 @@
 	}
 	return &Sharer{
 		options: options, table: loadshare.New(options.Self),
-		client: peer.NewClient(peer.ClientOptions{CallTimeout: callTimeout}),
+		client: peer.NewClient(peer.ClientOptions{CallTimeout: callTimeout}), announce: make(chan struct{}, 1),
 	}
 }
 
@@ -135,7 +153,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.table.Report(now, args.From, args.Loads)
-	reply.Self = s.options.Self
+	s.heard(args.Versions)
+	reply.Self, reply.Versions = s.options.Self, s.newest()
 	reply.Others, reply.Instances = s.table.Others(now, own, args.From.ID)
 	if members := s.table.Members(now); len(members) != args.Known {
 		reply.Members = members
@@ -150,11 +169,39 @@
 	defer s.mu.Unlock()
 	s.table.Heard(now, args.From)
 	s.table.ReportZone(now, args.From.Zone, args.Loads, args.Instances)
-	reply.Self = s.options.Self
+	s.heard(args.Versions)
+	reply.Self, reply.Versions = s.options.Self, s.newest()
 	reply.Loads, reply.Instances = s.table.Sum(now, own)
 	return nil
 }
 
+func (s *Sharer) newest() (versions loadshare.Versions) {
+	if s.options.Tables != nil {
+		versions = s.options.Tables.Newest()
+	}
+	return versions
+}
+
+// heard takes what another instance has seen. A new configuration is passed on at once.
+func (s *Sharer) heard(versions loadshare.Versions) {
+	if s.options.Tables == nil {
+		return
+	}
+	s.options.Tables.Heard(versions)
+	if versions.Configuration > s.highest {
+		s.highest = versions.Configuration
+		s.Announce()
+	}
+}
+
+// Announce makes this instance exchange with others at once, since it has something that cannot wait for the next period.
+func (s *Sharer) Announce() {
+	select {
+	case s.announce <- struct{}{}:
+	default: // one is under way
+	}
+}
+
 // Run serves and exchanges loads until ctx ends. It returns an error if the listener cannot be opened.
 func (s *Sharer) Run(ctx context.Context) error {
 	listener, err := s.options.Listen("tcp", s.options.Self.Address)
@@ -179,6 +226,8 @@
 		case <-ctx.Done():
 		case <-ticker.C:
 			s.step(ctx, period)
+		case <-s.announce:
+			s.step(ctx, 0)
 		}
 	}
 	running.Wait()
@@ -197,7 +246,7 @@
 		s.collect(ctx, period)
 		return
 	}
-	args := &ShareArgs{From: s.options.Self, Loads: s.options.View.OwnLoads(), Known: known}
+	args := &ShareArgs{From: s.options.Self, Loads: s.options.View.OwnLoads(), Known: known, Versions: s.newest()}
 	var reply ShareReply
 	err := s.client.Call(ctx, collector.Address, shareCall, args, &reply)
 	s.mu.Lock()
@@ -212,6 +261,7 @@
 	}
 	s.table.Heard(time.Now(), reply.Self)
 	s.table.Learn(reply.Members...)
+	s.heard(reply.Versions)
 	s.options.View.SetOtherLoads(reply.Others, reply.Instances)
 }
 
@@ -247,7 +297,7 @@
 }
 
 func (s *Sharer) exchangeZone(ctx context.Context, collector loadshare.Member, sum loadshare.Loads, instances int) {
-	args := &ZoneArgs{From: s.options.Self, Loads: sum, Instances: instances}
+	args := &ZoneArgs{From: s.options.Self, Loads: sum, Instances: instances, Versions: s.newest()}
 	var reply ZoneReply
 	err := s.client.Call(ctx, collector.Address, zoneCall, args, &reply)
 	s.mu.Lock()
@@ -257,6 +307,7 @@
 		return
 	}
 	now := time.Now()
+	s.heard(reply.Versions)
 	s.table.Heard(now, reply.Self)
 	s.table.ReportZone(now, reply.Self.Zone, reply.Loads, reply.Instances)
 }
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/hyssophoist/hyssophoist/core/retry"
@@ -20,6 +21,9 @@
 	// is over for the store.
 	minPause = 100 * time.Millisecond
 	maxPause = 500 * time.Millisecond
+	// behindGrace is how long a row that another instance knows may take to arrive here. The store answers calls that wait
+	// for changes at once.
+	behindGrace = 250 * time.Millisecond
 )
 
 // ErrHistoryLost says that the store has dropped the changes since a version; the table has to be read whole.
@@ -60,30 +64,81 @@
 
 var log = logging.For("watch")
 
-// Run follows a table until ctx ends. coalesce gives the least time between two readings of changes.
-func Run(ctx context.Context, feed Feed, table string, coalesce func() time.Duration, observer Observer) {
+// errBehind says that another instance has known a newer row of the table for some time.
+var errBehind = errors.New("another instance knows a newer row, the connection is silent")
+
+// Watcher follows a table. Its methods are safe for concurrent use.
+type Watcher struct {
+	feed     Feed
+	table    string
+	coalesce func() time.Duration
+
+	mu sync.Mutex
+	// known is the version up to which all rows are known, newest the highest version of a row that was seen.
+	known, newest uint64
+	// behind is when another instance was first heard to know a row above known; zero if it is not.
+	behind time.Time
+	// cancel ends the call in progress, which began at called.
+	cancel context.CancelCauseFunc
+	called time.Time
+}
+
+// New returns a watcher of a table. coalesce gives the least time between two readings of changes.
+func New(feed Feed, table string, coalesce func() time.Duration) *Watcher {
+	return &Watcher{feed: feed, table: table, coalesce: coalesce}
+}
+
+// Newest returns the highest version of a row that was seen, for other instances.
+func (w *Watcher) Newest() uint64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.newest
+}
+
+// Heard takes the highest version of a row that another instance has seen. A connection that has gone silent shows neither
+// by an error nor, if something before the store still answers its probes, by its keepalive; the call is then given up some
+// time after the row should have come.
+func (w *Watcher) Heard(version uint64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	now := time.Now()
+	switch {
+	case version <= w.known:
+		w.behind = time.Time{}
+	case w.behind.IsZero():
+		w.behind = now
+	case now.Sub(w.behind) > behindGrace && now.Sub(w.called) > behindGrace && w.cancel != nil:
+		w.cancel(errBehind)
+		w.behind = time.Time{}
+	}
+}
+
+// Run follows the table until ctx ends.
+func (w *Watcher) Run(ctx context.Context, observer Observer) {
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	version, whole, failures := uint64(0), false, 0
 	for ctx.Err() == nil {
-		batch, err := next(ctx, feed, table, version, whole)
+		batch, err := w.next(ctx, version, whole)
 		switch {
 		case ctx.Err() != nil:
 			return
 		case errors.Is(err, ErrHistoryLost):
-			log.Event("history lost, reading the whole table", "table", table, "version", version)
+			log.Event("history lost, reading the whole table", "table", w.table, "version", version)
 			whole = false
 			continue
 		case err != nil:
 			failures++
 			if failures == 1 {
-				log.Event("store lost", "table", table, "version", version, "error", err.Error())
+				log.Event("store lost", "table", w.table, "version", version, "error", err.Error())
 			}
 			observer.Lost(err)
-			pause(ctx, retry.Backoff(random, failures, minPause, maxPause))
+			if !errors.Is(err, errBehind) {
+				pause(ctx, retry.Backoff(random, failures, minPause, maxPause))
+			}
 			continue
 		}
 		if failures > 0 {
-			log.Event("store regained", "table", table, "version", batch.Version, "failures", failures)
+			log.Event("store regained", "table", w.table, "version", batch.Version, "failures", failures)
 			failures = 0
 		}
 		if !whole {
@@ -92,16 +147,43 @@
 			observer.Changed(batch.Rows, batch.Version)
 		}
 		version, whole = batch.Version, true
+		w.learned(batch)
 		observer.Confirmed()
-		pause(ctx, coalesce())
+		pause(ctx, w.coalesce())
 	}
 }
 
-func next(ctx context.Context, feed Feed, table string, version uint64, whole bool) (Batch, error) {
-	if !whole {
-		return feed.Snapshot(ctx, table)
+// learned notes what a reply has made known.
+func (w *Watcher) learned(batch Batch) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.known = max(w.known, batch.Version)
+	for _, row := range batch.Rows {
+		w.newest = max(w.newest, row.Version)
+	}
+}
+
+// next makes the next call, which Heard may cancel.
+func (w *Watcher) next(ctx context.Context, version uint64, whole bool) (Batch, error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	w.mu.Lock()
+	w.cancel, w.called = cancel, time.Now()
+	w.mu.Unlock()
+	var batch Batch
+	var err error
+	if whole {
+		batch, err = w.feed.Changes(ctx, w.table, version, changeWait)
+	} else {
+		batch, err = w.feed.Snapshot(ctx, w.table)
+	}
+	w.mu.Lock()
+	w.cancel = nil
+	w.mu.Unlock()
+	if err != nil && errors.Is(context.Cause(ctx), errBehind) {
+		return Batch{}, errBehind
 	}
-	return feed.Changes(ctx, table, version, changeWait)
+	return batch, err
 }
 
 func pause(ctx context.Context, d time.Duration) {
--- a/internal/watch/watch_test.go
+++ b/internal/watch/watch_test.go
@@ -71,7 +71,10 @@
 	observer := &recorder{}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
-	go func() { Run(ctx, feed, "t", func() time.Duration { return time.Millisecond }, observer); close(done) }()
+	go func() {
+		New(feed, "t", func() time.Duration { return time.Millisecond }).Run(ctx, observer)
+		close(done)
+	}()
 	for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
 		feed.mu.Lock()
 		waiting := len(feed.calls) == 8
@@ -105,3 +108,40 @@
 	}
 	return true
 }
+
+// TestSilentConnection guards that a call that no answer comes to is given up once another instance has known a newer row for
+// some time, and not before: the soak saw an instance take a revoked key for minutes after its connection to the store had
+// gone silent (seed 1).
+func TestSilentConnection(t *testing.T) {
+	feed := &script{steps: []func() (Batch, error){answer(1, 5)}}
+	observer := &recorder{}
+	w := New(feed, "t", func() time.Duration { return time.Millisecond })
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { w.Run(ctx, observer); close(done) }()
+	calls := func() int {
+		feed.mu.Lock()
+		defer feed.mu.Unlock()
+		return len(feed.calls)
+	}
+	// hear repeats what other instances know until the call is given up or for a time.
+	hear := func(version uint64, limit time.Duration) time.Duration {
+		began := time.Now()
+		for calls() == 2 && time.Since(began) < limit {
+			w.Heard(version)
+			time.Sleep(5 * time.Millisecond)
+		}
+		return time.Since(began)
+	}
+	for calls() < 2 {
+		time.Sleep(time.Millisecond)
+	}
+	if hear(5, 2*behindGrace); calls() != 2 {
+		t.Error("a call was given up although nothing newer is known")
+	}
+	if took := hear(6, 10*time.Second); took < behindGrace || calls() != 3 {
+		t.Errorf("%d calls after %v, want a new one after %v", calls(), took, behindGrace)
+	}
+	cancel()
+	<-done
+}
