Add a fault soak of edge daemons as separate processes

It runs four daemons as processes before stand-ins of the store, of engines in two zones and of a plain service, and draws faults that overlap: connections delayed, reset, cut one way or silenced by proxies; processes paused, killed, stopped and hung up; a store that is down, loses answers or forgets history; targets that crash, drain and misbehave; changes of the configuration. Callers keep their connections until the process is gone.

Checked: postings run at most once, refused ones never; answers, streams and paths are whole and their own; nobody runs what was not sent or under another account; the limit of repetitions in any span; deadlines; planned stops end within their grace time; after the faults all daemons serve, and the last configuration is in force within its bound.

--- /dev/null
+++ b/test/soak/check_test.go
@@ -0,0 +1,174 @@
+package soak
+
+import (
+	"net/http"
+	"slices"
+	"sort"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/hyssophoist/hyssophoist/internal/emulator/edgeplatform"
+)
+
+// deadlineSlack is the time after its deadline within which a request must have ended.
+const deadlineSlack = time.Second
+
+// run is a request that a target has run.
+type run struct {
+	edgeplatform.Run
+	target *target
+}
+
+// check compares what callers got with what targets ran.
+func (c *callers) check() {
+	runs := make(map[string][]run)
+	for _, t := range c.w.targets {
+		for _, r := range t.Runs() {
+			runs[r.RequestID] = append(runs[r.RequestID], run{r, t})
+		}
+	}
+	known := make(map[string]*sent, len(c.all))
+	counts := make(map[string]int)
+	for _, s := range c.all {
+		known[s.id] = s
+		c.checkOutcome(s, runs[s.id])
+		result := strconv.Itoa(s.status)
+		if s.err != nil {
+			result = "cut off"
+		}
+		counts[s.route+" "+result]++
+	}
+	for id, list := range runs {
+		for _, r := range list {
+			c.checkRun(known[id], r)
+		}
+	}
+	c.checkRepetitions()
+	c.w.t.Logf("%d requests: %v", len(c.all), counts)
+}
+
+// checkOutcome checks one request: at most one run of a posting, none of a refused one, and whole answers of its own.
+func (c *callers) checkOutcome(s *sent, runs []run) {
+	t := c.w.t
+	if s.route == "post" && len(runs) > 1 {
+		t.Errorf("posting %s ran %d times", s.id, len(runs))
+	}
+	refused := s.status == http.StatusServiceUnavailable || s.status == http.StatusTooManyRequests
+	if refused && s.route == "post" && len(runs) > 0 {
+		t.Errorf("posting %s was refused with %d and ran", s.id, s.status)
+	}
+	if refused && s.retryAfter == "" {
+		t.Errorf("request %s was refused without Retry-After", s.id)
+	}
+	if s.status >= 400 && s.status < 500 {
+		t.Errorf("request %s, which every configuration allows, got %d", s.id, s.status)
+	}
+	if s.status == http.StatusOK && s.stamp == "" {
+		t.Errorf("request %s got a success without a target's mark", s.id)
+	}
+	if s.status == http.StatusOK && s.err == nil && s.route != "gen" && s.answer != "answer to "+s.id {
+		t.Errorf("request %s got %q", s.id, s.answer)
+	}
+	if s.status == http.StatusOK && s.route == "gen" {
+		c.checkStream(s)
+	}
+	if took := s.ended.Sub(s.at); took > callerDeadline+deadlineSlack {
+		t.Errorf("request %s took %v", s.id, took)
+	}
+}
+
+// checkStream checks that a stream has each event once and in order, and all of them if it looks whole.
+func (c *callers) checkStream(s *sent) {
+	ids := events(s.answer)
+	for i, id := range ids {
+		if id != i {
+			c.w.t.Errorf("stream %s has event %d where %d is due", s.id, id, i)
+			return
+		}
+	}
+	if s.err == nil && len(ids) != streamEvents {
+		c.w.t.Errorf("stream %s looks whole with %d of %d events", s.id, len(ids), streamEvents)
+	}
+}
+
+// checkRun checks that a run is of a request that was sent, as it was sent, by the account of its key, and that the path of
+// a stream runs each layer once and in order.
+func (c *callers) checkRun(s *sent, r run) {
+	t := c.w.t
+	if s == nil {
+		if !strings.HasPrefix(r.RequestID, "probe-") {
+			t.Errorf("%s ran request %q, which nobody sent", r.target.ID, r.RequestID)
+		}
+		return
+	}
+	if r.Path != s.path || r.Body != s.body || r.Tenant != accountName {
+		t.Errorf("request %s ran as %+v", s.id, r.Run)
+	}
+	if s.route == "gen" {
+		c.checkHops(s.id, r.Hops)
+	}
+}
+
+func (c *callers) checkHops(id, hops string) {
+	next := 0
+	var engines []string
+	for hop := range strings.SplitSeq(hops, ",") {
+		address, layers, _ := strings.Cut(hop, "=")
+		from, to, _ := strings.Cut(layers, "-")
+		first, err := strconv.Atoi(from)
+		end, endErr := strconv.Atoi(to)
+		if err != nil || endErr != nil || first != next || end <= first || slices.Contains(engines, address) {
+			c.w.t.Errorf("stream %s has the path %q", id, hops)
+			return
+		}
+		engines, next = append(engines, address), end
+	}
+	if next != modelLayers {
+		c.w.t.Errorf("stream %s has the path %q, which ends at layer %d", id, hops, next)
+	}
+}
+
+// checkRepetitions checks the limit of arrivals beyond the first of each request, for each service and in any span.
+func (c *callers) checkRepetitions() {
+	for _, service := range []string{"llm", "ledger"} {
+		var repeated, first []time.Time
+		seen := make(map[string]bool)
+		var arrivals []edgeplatform.Arrival
+		for _, t := range c.w.targets {
+			if t.Service == service {
+				arrivals = append(arrivals, t.Arrivals()...)
+			}
+		}
+		sort.Slice(arrivals, func(i, j int) bool { return arrivals[i].At.Before(arrivals[j].At) })
+		for _, a := range arrivals {
+			if seen[a.RequestID] {
+				repeated = append(repeated, a.At)
+			}
+			seen[a.RequestID] = true
+		}
+		for _, s := range c.all {
+			if (s.route == "gen") == (service == "llm") {
+				first = append(first, s.at)
+			}
+		}
+		sort.Slice(first, func(i, j int) bool { return first[i].Before(first[j]) })
+		for i, begin := range repeated {
+			within := count(repeated[i:], begin, begin.Add(repetitionSpan))
+			// The requests of this span or of the one before it pay, whichever are more.
+			paid := max(count(first, begin, begin.Add(repetitionSpan)), count(first, begin.Add(-repetitionSpan), begin))
+			if limit := repetitionRatio*float64(paid) + repetitionSlack; float64(within) > limit {
+				c.w.t.Errorf("%d repetitions to %s within %v, the limit is %v", within, service, repetitionSpan, limit)
+				break
+			}
+		}
+	}
+}
+
+// count counts the times in [from, to) of a sorted list.
+func count(times []time.Time, from, to time.Time) int {
+	after := func(at time.Time) int {
+		return sort.Search(len(times), func(i int) bool { return !times[i].Before(at) })
+	}
+	return after(to) - after(from)
+}
--- /dev/null
+++ b/test/soak/daemon_test.go
@@ -0,0 +1,199 @@
+package soak
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/hyssophoist/hyssophoist/internal/faultproxy"
+	"github.com/hyssophoist/hyssophoist/internal/settings"
+)
+
+const (
+	stopGrace   = 5 * time.Second
+	drainBound  = 2 * time.Second
+	configBound = 2 * time.Second
+	// repetitionSlack is small, so that the soak reaches the limit of repetitions.
+	repetitionSlack = 60
+	repetitionRatio = 0.2
+	repetitionSpan  = 10 * time.Second
+	// startupTime is the time in which the Go runtime starts and the program begins to handle signals.
+	startupTime = 200 * time.Millisecond
+)
+
+// daemon is an edge daemon that may be stopped and started again.
+type daemon struct {
+	t        *testing.T
+	name     string
+	settings settings.Edge
+	file     string
+	// store is the proxy between the daemon and the platform's store.
+	store *faultproxy.Proxy
+
+	mu     sync.Mutex
+	cmd    *exec.Cmd
+	exited chan struct{}
+	// disturbed is when a fault last touched the daemon, started when its process was started.
+	disturbed, started, hungUp time.Time
+	// ending says that the process was told to end.
+	ending bool
+	log    *os.File
+}
+
+// addresses numbers the daemons of this process, each of which has a loopback address of its own.
+var addresses atomic.Int32
+
+// newDaemon prepares a daemon with a loopback address of its own.
+func newDaemon(t *testing.T, number int, zone, store string, seed uint64) *daemon {
+	t.Helper()
+	proxy, err := faultproxy.New(faultproxy.Options{Target: store, Seed: seed})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(proxy.Close)
+	pid := os.Getpid()
+	ip := fmt.Sprintf("127.%d.%d.%d", 1+(pid>>8)%250, pid%256, addresses.Add(1)%254)
+	d := &daemon{t: t, name: fmt.Sprintf("edge-%s-%d", zone, number), store: proxy}
+	d.settings = settings.Edge{
+		Daemon: d.name, Zone: zone, Front: ip + ":8000", Ready: ip + ":8001", Peer: ip + ":8002", Metrics: ip + ":8003",
+		MemoryMB: 128, StopGrace: settings.Duration(stopGrace), FirstStart: true,
+		DrainBound: settings.Duration(drainBound), ConfigurationBound: settings.Duration(configBound),
+		Retries: settings.Retries{Ratio: repetitionRatio, Slack: repetitionSlack, Span: settings.Duration(repetitionSpan)},
+		Store:   settings.Store{Address: proxy.Address(), Timeout: settings.Duration(time.Second)},
+	}
+	directory := t.TempDir()
+	d.file = filepath.Join(directory, "edge.json")
+	if d.log, err = os.Create(filepath.Join(logDirectory(t), d.name+".log")); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		d.signal(syscall.SIGCONT)
+		d.end(syscall.SIGKILL)
+		d.wait(stopGrace)
+		d.log.Close()
+	})
+	d.writeSettings()
+	d.start()
+	return d
+}
+
+// logDirectory returns where the logs of daemons go: HYSSOPHOIST_SOAK_LOGS, or a directory that is removed after the test.
+func logDirectory(t *testing.T) string {
+	t.Helper()
+	directory := os.Getenv("HYSSOPHOIST_SOAK_LOGS")
+	if directory == "" {
+		return t.TempDir()
+	}
+	directory = filepath.Join(directory, t.Name())
+	if err := os.MkdirAll(directory, 0o755); err != nil {
+		t.Fatal(err)
+	}
+	return directory
+}
+
+func (d *daemon) writeSettings() {
+	content, err := json.Marshal(d.settings)
+	if err == nil {
+		err = os.WriteFile(d.file, append([]byte("// written by the soak\n"), content...), 0o600)
+	}
+	if err != nil {
+		d.t.Error(err)
+	}
+}
+
+func (d *daemon) start() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	cmd := exec.Command(binary, "edge", "--settings", d.file)
+	cmd.Stdout, cmd.Stderr = d.log, d.log
+	if err := cmd.Start(); err != nil {
+		d.t.Error(err)
+		return
+	}
+	d.cmd, d.exited = cmd, make(chan struct{})
+	d.settings.FirstStart = false
+	d.ending, d.started = false, time.Now()
+	go func(exited chan struct{}) {
+		err := cmd.Wait()
+		close(exited)
+		d.ended(err)
+	}(d.exited)
+}
+
+// ended starts a process again that has ended by itself, as the platform does. That is a failure, but for a hangup signal
+// that comes before the program can handle signals.
+func (d *daemon) ended(err error) {
+	d.mu.Lock()
+	asked, early := d.ending, d.hungUp.Sub(d.started) < startupTime
+	d.mu.Unlock()
+	if asked {
+		return
+	}
+	if !early {
+		d.t.Errorf("%s ended by itself: %v", d.name, err)
+	}
+	d.start()
+}
+
+// end sends a signal that ends the process.
+func (d *daemon) end(s syscall.Signal) {
+	d.mu.Lock()
+	d.ending = true
+	d.mu.Unlock()
+	d.signal(s)
+}
+
+func (d *daemon) signal(s syscall.Signal) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.cmd != nil {
+		_ = d.cmd.Process.Signal(s) // the process may have ended
+	}
+}
+
+// wait reports whether the process ends within limit.
+func (d *daemon) wait(limit time.Duration) bool {
+	d.mu.Lock()
+	exited := d.exited
+	d.mu.Unlock()
+	select {
+	case <-exited:
+		return true
+	case <-time.After(limit):
+		return false
+	}
+}
+
+// disturb notes a fault that touches the daemon until a time from now.
+func (d *daemon) disturb(until time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if end := time.Now().Add(until); end.After(d.disturbed) {
+		d.disturbed = end
+	}
+}
+
+// calmSince says whether no fault has touched the daemon since a time.
+func (d *daemon) calmSince(since time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.disturbed.Before(since)
+}
+
+func (d *daemon) ready() bool {
+	client := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	response, err := client.Get("http://" + d.settings.Ready + "/api/readyz")
+	if err != nil {
+		return false
+	}
+	response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
--- /dev/null
+++ b/test/soak/world_test.go
@@ -0,0 +1,164 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/hyssophoist/hyssophoist/internal/emulator/edgeplatform"
+	"github.com/hyssophoist/hyssophoist/internal/faultproxy"
+)
+
+const (
+	modelLayers  = 8
+	streamEvents = 30
+	heartbeat    = 50 * time.Millisecond
+	// lapse is how long the entry of a silent target stays in the list.
+	lapse = 1500 * time.Millisecond
+	// accountKey is valid in every configuration; rotated keys come and go.
+	accountKey  = "key-always"
+	accountName = "account-1"
+)
+
+// target is a stand-in of an engine or a plain service behind a proxy.
+type target struct {
+	*edgeplatform.Target
+	proxy *faultproxy.Proxy
+
+	mu    sync.Mutex
+	state string // in the list of targets: "ready", "draining" or "" for none
+	drain time.Time
+}
+
+// world is a deployment: the store, targets in zones, and daemons.
+type world struct {
+	t       *testing.T
+	store   *edgeplatform.Store
+	targets []*target
+	daemons []*daemon
+
+	mu sync.Mutex
+	// version and key are of the configuration in force; changed is when the store took it, storeDisturbed until when a fault
+	// touches the store.
+	version        int
+	key            string
+	storeDisturbed time.Time
+}
+
+// newWorld starts two zones, each with daemons instances, engines engines and one plain target.
+func newWorld(t *testing.T, seed uint64, daemons, engines int) *world {
+	w := &world{t: t, store: edgeplatform.NewStore()}
+	t.Cleanup(w.store.Close)
+	for i := range 2 * engines {
+		w.addTarget(fmt.Sprintf("engine-%d", i), "llm", zoneOf(i/engines), "small", seed+uint64(i))
+	}
+	for i := range 3 {
+		w.addTarget(fmt.Sprintf("plain-%d", i), "ledger", zoneOf(i%2), "", seed+100+uint64(i))
+	}
+	w.configure("key-0")
+	ctx, cancel := context.WithCancel(context.Background())
+	var beating sync.WaitGroup
+	beating.Go(func() { w.beat(ctx) })
+	t.Cleanup(func() {
+		cancel()
+		beating.Wait()
+	})
+	for i := range daemons {
+		w.daemons = append(w.daemons, newDaemon(t, i, zoneOf(i%2), w.store.Address(), seed+200+uint64(i)))
+	}
+	return w
+}
+
+func zoneOf(i int) string { return []string{"a", "b"}[i] }
+
+func (w *world) addTarget(id, service, zone, card string, seed uint64) {
+	made := edgeplatform.NewTarget(id, service, zone, card, streamEvents)
+	w.t.Cleanup(made.Close)
+	proxy, err := faultproxy.New(faultproxy.Options{Target: made.Address(), Seed: seed})
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	w.t.Cleanup(proxy.Close)
+	made.Advertise(proxy.Address())
+	w.targets = append(w.targets, &target{Target: made, proxy: proxy, state: "ready"})
+}
+
+// beat keeps the list of targets up to date, as the targets' heartbeats do.
+func (w *world) beat(ctx context.Context) {
+	listed := make(map[string]string)
+	for ctx.Err() == nil {
+		for _, t := range w.targets {
+			t.mu.Lock()
+			state := t.state
+			t.mu.Unlock()
+			entry := ""
+			if state != "" {
+				entry = fmt.Sprint(t.Entry(state))
+			}
+			if listed[t.ID] == entry {
+				continue
+			}
+			listed[t.ID] = entry
+			if state == "" {
+				w.store.Remove("servers", t.ID)
+			} else if err := w.store.Put("servers", t.ID, t.Entry(state)); err != nil {
+				w.t.Error(err)
+			}
+		}
+		time.Sleep(heartbeat)
+	}
+}
+
+// configure puts a new version in force, in which accountKey and key are valid.
+func (w *world) configure(key string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.version += 3
+	w.key = key
+	route := func(name, kind, service string, attempts int, streams bool) map[string]any {
+		return map[string]any{
+			"name": name, "host": "x.example", "prefix": "/" + name + "/", "routeKind": kind, "timeoutMs": 5000,
+			"goalMs": 500, "gapGoalMs": 200, "priority": 1, "service": service, "maxAttempts": attempts,
+			"sticky": streams, "resumable": streams,
+		}
+	}
+	err := w.store.Put("op", "config", map[string]any{
+		"version": w.version,
+		"routes": []any{
+			route("gen", "streaming", "llm", 2, true), route("post", "non_idempotent", "ledger", 2, false),
+			route("read", "idempotent", "ledger", 2, false),
+		},
+		"services": []any{
+			map[string]any{"name": "ledger", "maxConns": 50},
+			map[string]any{"name": "llm", "maxConns": 50, "engine": map[string]any{
+				"slots": 8, "kvTokenBytes": 8000, "stride": 2, "step_ms": 1, "per_seq_ms": 0.01, "context_per_k": 0.01,
+				"read_per_s": 100000, "chunk": 512, "loads_at_once": 4, "layers": modelLayers, "layerMb": 100,
+				"actBytes": 1000, "pipeMbps": 1000, "usual": map[string]any{"prompt": 100, "answer": 40},
+				"models": []any{map[string]any{"name": "m", "loadS": 1}},
+				"kinds":  []any{map[string]any{"name": "small", "sizeMb": 450, "pace": 1, "readFactor": 1}},
+			}},
+		},
+		"limits":  map[string]any{"maxHeaderBytes": 8192, "maxBodyBytes": 4096, "headerTimeoutMs": 1000, "idleTimeoutMs": 5000},
+		"tenants": []any{map[string]any{"name": accountName, "apiKeys": []string{accountKey, key}}},
+	})
+	if err != nil {
+		w.t.Error(err)
+	}
+}
+
+// disturbStore notes a fault of the store until a time from now.
+func (w *world) disturbStore(until time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if end := time.Now().Add(until); end.After(w.storeDisturbed) {
+		w.storeDisturbed = end
+	}
+}
+
+func (w *world) storeCalmSince(since time.Time) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.storeDisturbed.Before(since)
+}
