Bound the volume of logs; suppress lines of requests that end well first

Cause: the queue of log lines was bounded, their volume was not: a reader that keeps up got every line, and under a flood lines of requests that ended well displaced those that explain a failure.

Change: 512 KB a second for a process, 128 KB of that for requests that ended well; what is left out is counted.

Ruled out: a limit by folding equal lines; each line has a request id.

--- a/internal/edge/schema_test.go
+++ b/internal/edge/schema_test.go
@@ -29,7 +29,7 @@
 			documented[name[1]] = false
 		}
 	}
-	event := regexp.MustCompile(`log\.Event\("([^"]+)"`)
+	event := regexp.MustCompile(`log\.(?:Event|Routine)\("([^"]+)"`)
 	for _, folder := range []string{"edge", "gateway", "placer", "watch", "loadshare", "connpool", "leasestore"} {
 		files, err := filepath.Glob(filepath.Join("..", folder, "*.go"))
 		if err != nil {
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -1,7 +1,11 @@
 // Package logging writes log lines through klog with one fixed prefix for each part of the system.
 package logging
 
-import "k8s.io/klog/v2"
+import (
+	"time"
+
+	"k8s.io/klog/v2"
+)
 
 // Logger writes short sentences with the prefix of one part.
 type Logger struct {
@@ -32,3 +36,12 @@
 func (l Logger) Event(sentence string, keysAndValues ...any) {
 	klog.InfoSDepth(1, l.prefix+sentence, keysAndValues...)
 }
+
+// Routine is Event for decisions that go well and come with each request. Those beyond a budget are counted instead.
+func (l Logger) Routine(sentence string, keysAndValues ...any) {
+	if !routine.AllowN(time.Now(), routineBytes) {
+		suppressed.Add(1)
+		return
+	}
+	klog.InfoSDepth(1, l.prefix+sentence, keysAndValues...)
+}
--- a/internal/logging/writer.go
+++ b/internal/logging/writer.go
@@ -7,18 +7,39 @@
 	"strconv"
 	"sync"
 	"sync/atomic"
+	"time"
 
+	"golang.org/x/time/rate"
 	"k8s.io/klog/v2"
 )
 
 // queuedLines bounds the log lines that wait for a reader that does not keep up.
 const queuedLines = 2048
 
+const (
+	// maxRate and maxBurst bound what a process logs, in bytes a second and at once.
+	maxRate  = 512 << 10
+	maxBurst = 1 << 20
+	// routineRate and routineBurst bound the lines of Routine among that, so that a flood of requests that end well does not
+	// displace the lines that explain a failure.
+	routineRate  = 128 << 10
+	routineBurst = 256 << 10
+	// routineBytes is the usual length of such a line.
+	routineBytes = 512
+)
+
+// routine is the budget of the lines of Routine; suppressed counts those beyond it.
+var (
+	routine    = rate.NewLimiter(routineRate, routineBurst)
+	suppressed atomic.Int64
+)
+
 // Writer passes log lines on to another writer without ever blocking the caller. Lines that arrive while the queue is
-// full are dropped and counted.
+// full, or beyond maxRate, are dropped and counted.
 type Writer struct {
 	out     io.Writer
 	lines   chan []byte
+	budget  *rate.Limiter
 	dropped atomic.Int64
 	done    chan struct{}
 	once    sync.Once
@@ -26,13 +47,20 @@
 
 // NewWriter returns a writer to out. Close ends it.
 func NewWriter(out io.Writer) *Writer {
-	w := &Writer{out: out, lines: make(chan []byte, queuedLines), done: make(chan struct{})}
-	go w.run()
+	w := &Writer{
+		out: out, lines: make(chan []byte, queuedLines), done: make(chan struct{}),
+		budget: rate.NewLimiter(maxRate, maxBurst),
+	}
+	go w.run(suppressed.Load())
 	return w
 }
 
 // Write queues a copy of line. It never fails.
 func (w *Writer) Write(line []byte) (int, error) {
+	if !w.budget.AllowN(time.Now(), len(line)) {
+		w.dropped.Add(1)
+		return len(line), nil
+	}
 	select {
 	case w.lines <- append([]byte(nil), line...):
 	default:
@@ -50,8 +78,9 @@
 	<-w.done
 }
 
-// run writes the queued lines, as many at once as are waiting.
-func (w *Writer) run() {
+// run writes the queued lines, as many at once as are waiting. reportedSuppressed is the number of suppressed lines that was
+// known when the writer was made.
+func (w *Writer) run(reportedSuppressed int64) {
 	defer close(w.done)
 	var batch []byte
 	reported := int64(0)
@@ -67,6 +96,10 @@
 			batch = fmt.Appendf(batch, "logging: dropped lines total=%d\n", dropped)
 			reported = dropped
 		}
+		if count := suppressed.Load(); count != reportedSuppressed {
+			batch = fmt.Appendf(batch, "logging: suppressed lines of requests that ended well total=%d\n", count)
+			reportedSuppressed = count
+		}
 		// There is nowhere to report a failure of the log itself.
 		_, _ = w.out.Write(batch)
 		if ended {
--- a/internal/logging/writer_test.go
+++ b/internal/logging/writer_test.go
@@ -67,6 +67,50 @@
 	}
 }
 
+// TestRoutineLinesDoNotDisplaceOthers guards the volume of logs under load: lines of requests that end well are bounded, and
+// a line about a failure is still written after a flood of them, with the number of those left out.
+func TestRoutineLinesDoNotDisplaceOthers(t *testing.T) {
+	var out bytes.Buffer
+	w := NewWriter(&out)
+	if err := Redirect(w, 0); err != nil {
+		t.Fatal(err)
+	}
+	const flood = 5 * routineBurst / routineBytes
+	logger := For("test")
+	for range flood {
+		logger.Routine("request ended", "result", "ok")
+	}
+	logger.Event("request ended", "result", "no_capacity")
+	w.Close()
+	text := out.String()
+	written := strings.Count(text, `result="ok"`)
+	if most := 2 * routineBurst / routineBytes; written > most {
+		t.Errorf("%d lines of requests that ended well, want at most %d", written, most)
+	}
+	if !strings.Contains(text, `result="no_capacity"`) {
+		t.Error("the line about a failure is missing")
+	}
+	if !strings.Contains(text, "suppressed lines of requests that ended well total=") {
+		t.Error("the number of lines left out is missing")
+	}
+}
+
+// TestVolumeIsBounded guards that lines beyond the budget of the process are dropped and counted.
+func TestVolumeIsBounded(t *testing.T) {
+	var out bytes.Buffer
+	w := NewWriter(&out)
+	line := append(bytes.Repeat([]byte("x"), 10<<10), '\n')
+	for range 3 * maxBurst / len(line) {
+		if _, err := w.Write(line); err != nil {
+			t.Fatal(err)
+		}
+	}
+	w.Close()
+	if out.Len() > 2*maxBurst || w.Dropped() == 0 {
+		t.Errorf("%d bytes written, %d lines dropped", out.Len(), w.Dropped())
+	}
+}
+
 // BenchmarkEvent measures the cost of a line for the process that writes it.
 func BenchmarkEvent(b *testing.B) {
 	w := NewWriter(&bytes.Buffer{})
