Add hyssophoistctl explain, which tells the story of a request from the logs

It reads the logs of several instances and prints the lines about a request with what its instances believed of its targets, the store and the configuration around that time, in order.

Cause: from an id to its cause took several searches; the beliefs that decided a request stand in lines without its id. Ruled out: beliefs of all instances, which are hundreds of lines for one request.

--- a/cmd/hyssophoistctl/main.go
+++ b/cmd/hyssophoistctl/main.go
@@ -8,6 +8,7 @@
 
 	"github.com/hyssophoist/hyssophoist/internal/cli"
 	"github.com/hyssophoist/hyssophoist/internal/emulator/engine"
+	"github.com/hyssophoist/hyssophoist/internal/explain"
 	"github.com/hyssophoist/hyssophoist/internal/loadgen"
 	"github.com/hyssophoist/hyssophoist/internal/settings"
 	"github.com/hyssophoist/hyssophoist/internal/tokenizer"
@@ -17,6 +18,7 @@
 	os.Exit(cli.Run(cli.Options{
 		CheckPreset: settings.LoadPreset,
 		Commands: []*cobra.Command{
+			explain.NewCommand(),
 			loadgen.NewLoadCommand(expectedText),
 			loadgen.NewExperimentCommand(expectedText),
 		},
--- /dev/null
+++ b/internal/explain/command.go
@@ -0,0 +1,96 @@
+package explain
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"github.com/spf13/cobra"
+)
+
+// maxLineBytes bounds a log line; a request's line names the targets of all its attempts.
+const maxLineBytes = 1 << 20
+
+// NewCommand returns the subcommand explain.
+func NewCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "explain REQUEST-ID [LOG...]",
+		Short: "Tell the story of a request from the logs of edge daemons",
+		Long: "Reads the logs of edge daemons from files, or from the standard input, and prints what was decided about a request\n" +
+			"and what the instances that handled it believed at the time. The name of a file, without its ending, stands for the\n" +
+			"instance unless a name stands before the lines.",
+		Args: cobra.MinimumNArgs(1),
+		RunE: func(command *cobra.Command, arguments []string) error {
+			entries, err := read(command.InOrStdin(), arguments[1:])
+			if err != nil {
+				return err
+			}
+			story := Story(entries, arguments[0])
+			if len(story) == 0 {
+				return fmt.Errorf("no line of %d names request %q", len(entries), arguments[0])
+			}
+			if output, err := command.Flags().GetString("output"); err == nil && output == "json" {
+				return json.NewEncoder(command.OutOrStdout()).Encode(story)
+			}
+			return write(command.OutOrStdout(), story, arguments[0])
+		},
+	}
+}
+
+func read(in io.Reader, files []string) ([]Entry, error) {
+	if len(files) == 0 {
+		return scan(in, "")
+	}
+	var entries []Entry
+	for _, name := range files {
+		file, err := os.Open(name)
+		if err != nil {
+			return nil, err
+		}
+		instance := strings.TrimSuffix(filepath.Base(name), filepath.Ext(name))
+		found, err := scan(file, instance)
+		file.Close()
+		if err != nil {
+			return nil, fmt.Errorf("read %s: %w", name, err)
+		}
+		entries = append(entries, found...)
+	}
+	return entries, nil
+}
+
+func scan(in io.Reader, instance string) (entries []Entry, err error) {
+	lines := bufio.NewScanner(in)
+	lines.Buffer(nil, maxLineBytes)
+	for lines.Scan() {
+		if entry, ok := Parse(instance, lines.Text()); ok {
+			entries = append(entries, entry)
+		}
+	}
+	return entries, lines.Err()
+}
+
+// write prints a story; lines about the request itself are marked.
+func write(out io.Writer, story []Entry, id string) error {
+	for i := range story {
+		e := &story[i]
+		mark := " "
+		if e.Get("request") == id {
+			mark = "*"
+		}
+		var fields strings.Builder
+		for _, field := range e.Fields {
+			if field.Value != "" {
+				fmt.Fprintf(&fields, " %s=%s", field.Key, field.Value)
+			}
+		}
+		if _, err := fmt.Fprintf(out, "%s %s %s %s: %s%s\n", mark, e.Time.Format("15:04:05.000"), e.Instance, e.Part,
+			e.Sentence, fields.String()); err != nil {
+			return err
+		}
+	}
+	return nil
+}
