Suspect an engine that refuses streams although it has room

Change: the report that is asked for after a refusal decides: an engine with room is suspected like one that failed, for 0.5 to 4 s. The limit of full engines grows more slowly the more instances try them.

Ruled out: lost engines; the three that refused most answered questions for reports all the time and were listed as draining once the store was back.

TestLeavingEngineGetsFewStreams fails without the change (8 streams where 5 are allowed).

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -160,7 +160,7 @@
 		node.PerLayer = layerCost(service.Engine, card, size, sequences)
 		room := service.Engine.CacheRoom(card, state.Layers.Len()) - cache
 		node.Room = max(0, int(room/max(1, size.Prompt+size.Answer)))
-		if state.Full(now) {
+		if d.Fleet.Full(now, state) {
 			node.Room = 0
 		}
 		node.PerLayer *= min(maxSlowCost, state.SlowBy(now))
--- a/core/fleet/limit.go
+++ b/core/fleet/limit.go
@@ -10,9 +10,11 @@
 	// shedMemory is how long a refusal for lack of room limits the work that an engine gets.
 	shedMemory = 2 * time.Second
 	// minGrowth and maxGrowth bound the time in which the limit grows by one. It doubles with each further refusal, so that an
-	// engine that stays full is tried seldom: each try uses up a repetition of the request.
-	minGrowth = 100 * time.Millisecond
-	maxGrowth = 800 * time.Millisecond
+	// engine that stays full is tried seldom: each try uses up a repetition of the request. Each further growthInstances
+	// instances of the zone, which try it too, lengthen it.
+	minGrowth       = 100 * time.Millisecond
+	maxGrowth       = 800 * time.Millisecond
+	growthInstances = 4
 	// sameShed is the time within which refusals count as one: requests that were sent together are refused together.
 	sameShed = 50 * time.Millisecond
 )
@@ -40,12 +42,13 @@
 }
 
 // reached says whether the engine gets no further request at the time now.
-func (l *limit) reached(now time.Time, inProgress int) bool {
+func (l *limit) reached(now time.Time, inProgress, instances int) bool {
 	since := now.Sub(l.at)
 	if l.at.IsZero() || since > shedMemory {
 		return false
 	}
-	return inProgress >= l.requests+int(since/l.growth)
+	growth := l.growth * time.Duration(1+instances/growthInstances)
+	return inProgress >= l.requests+int(since/growth)
 }
 
 // Shed notes that an engine refused a request for lack of room, while that request still counts as in progress. Unlike a
@@ -57,4 +60,6 @@
 }
 
 // Full says whether an engine that refused requests for lack of room gets no further one at the time now.
-func (s *State) Full(now time.Time) bool { return s.limit.reached(now, s.InProgress) }
+func (f *Fleet) Full(now time.Time, s *State) bool {
+	return s.limit.reached(now, s.InProgress, f.instances)
+}
--- a/core/fleet/reach_test.go
+++ b/core/fleet/reach_test.go
@@ -84,7 +84,7 @@
 	f.Shed(now, "a0") // another one that was sent at the same moment
 	full := func(inProgress int, after time.Duration) bool {
 		state.InProgress = inProgress
-		return state.Full(now.Add(after))
+		return f.Full(now.Add(after), state)
 	}
 	if !full(10, 0) || full(9, 0) {
 		t.Error("the engine does not keep the ten requests that it has")
@@ -101,3 +101,20 @@
 		t.Error("a refusal limits the engine for good")
 	}
 }
+
+// TestReportFull guards when a refusal is put down to lack of room: an engine that is leaving refuses too, but has room.
+func TestReportFull(t *testing.T) {
+	for _, test := range []struct {
+		report Report
+		full   bool
+	}{
+		{Report{CacheInUse: 10, CacheTotal: 100}, false},
+		{Report{CacheInUse: 90, CacheTotal: 100}, true},
+		{Report{CacheInUse: 10, CacheTotal: 100, Queued: 3}, true},
+		{Report{}, true}, // says nothing of its room
+	} {
+		if got := test.report.Full(); got != test.full {
+			t.Errorf("%+v: full %v", test.report, got)
+		}
+	}
+}
--- a/core/fleet/report.go
+++ b/core/fleet/report.go
@@ -20,6 +20,12 @@
 	Stalled []StalledRequest
 }
 
+// fullShare is the part of the KV cache in use from which an engine may have no room for a further request.
+const fullShare = 0.8
+
+// Full says whether the engine may lack room for a further request.
+func (r Report) Full() bool { return r.Queued > 0 || r.CacheInUse >= fullShare*r.CacheTotal }
+
 // StalledRequest is a request that makes no progress because of the engine at Address.
 type StalledRequest struct {
 	ID      string
--- a/internal/edge/reroute_test.go
+++ b/internal/edge/reroute_test.go
@@ -174,3 +174,35 @@
 		}
 	}
 }
+
+// TestLeavingEngineGetsFewStreams guards that an engine that refuses streams although it has room is left alone: while the
+// store is down its entry does not say that it is leaving. On abay-cost-grown, trouble-3, three such engines refused 1,400
+// streams, after which the limit of repetitions was used up.
+func TestLeavingEngineGetsFewStreams(t *testing.T) {
+	t.Parallel()
+	d := newDeployment(t)
+	daemon := d.placed()
+	first, second := d.path(daemon)
+	spare := d.spare(daemon, 8, "a", second)
+	first.SetFaults(edgeplatform.TargetFaults{RefuseFor: second.Address()})
+	spareRuns := 0
+	for i := range 40 {
+		id := fmt.Sprint("s", i)
+		if got := d.stream(daemon, id); got.status != http.StatusOK {
+			t.Fatalf("stream: %+v", got)
+		}
+		for _, run := range d.runsOf(id) {
+			if strings.Contains(run.Hops, spare.Address()+"=") {
+				spareRuns++
+			}
+		}
+	}
+	// 40 streams take six seconds, in which the suspicion of half a second, one, two and four lapses three times.
+	const most = 5
+	if refused := first.Refusals(); refused > most {
+		t.Errorf("%d streams were sent through the leaving engine, want at most %d", refused, most)
+	}
+	if spareRuns == 0 {
+		t.Error("the other engine with the layers was not used")
+	}
+}
--- a/internal/emulator/edgeplatform/target.go
+++ b/internal/emulator/edgeplatform/target.go
@@ -30,6 +30,9 @@
 	HideWait bool
 	// RefuseReroute makes the target refuse to send streams along another path, because of the engine at this address.
 	RefuseReroute string
+	// RefuseFor makes the target state that it did not run streams whose path contains the engine at this address, which it
+	// names as the one at fault.
+	RefuseFor string
 	// Refuse makes the target state that it did not run the request.
 	Refuse bool
 	// LoseAnswers makes the target run requests and close the connection without an answer.
@@ -67,6 +70,7 @@
 	faults     TargetFaults
 	runs       []Run
 	arrivals   []Arrival
+	refusals   int
 	from       int
 	to         int
 	orders     int
@@ -191,7 +195,7 @@
 func (t *Target) report(w http.ResponseWriter, _ *http.Request) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	body := map[string]any{"seq": t.orders, "busy": false, "born": t.born, "pace": 1.0}
+	body := map[string]any{"seq": t.orders, "busy": false, "born": t.born, "pace": 1.0, "kvUsed": 10, "kvTotal": 1000}
 	if t.to > t.from {
 		body["layers"] = map[string]any{"from": t.from, "target": t.to, "version": 1}
 	}
@@ -258,6 +262,13 @@
 	}
 }
 
+// Refusals returns the number of streams refused because of RefuseFor.
+func (t *Target) Refusals() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.refusals
+}
+
 // Reroutes returns the new paths that the target was ordered to send requests along.
 func (t *Target) Reroutes() []string {
 	t.mu.Lock()
@@ -300,7 +311,11 @@
 	faults := t.faults
 	t.arrivals = append(t.arrivals, Arrival{RequestID: r.Header.Get("X-Request-Id"), At: time.Now()})
 	wrong := r.Header.Get("X-Expect-Instance") != t.ID
-	if !wrong && !faults.Refuse {
+	blocked := faults.RefuseFor != "" && strings.Contains(r.Header.Get("X-Hops"), faults.RefuseFor+"=")
+	if blocked {
+		t.refusals++
+	}
+	if !wrong && !blocked && !faults.Refuse {
 		t.runs = append(t.runs, Run{
 			RequestID: r.Header.Get("X-Request-Id"), Tenant: r.Header.Get("X-Tenant"), Path: r.RequestURI,
 			LastEvent: r.Header.Get("Last-Event-Id"), Hops: r.Header.Get("X-Hops"), Body: string(body),
@@ -312,6 +327,10 @@
 	switch {
 	case wrong:
 		w.WriteHeader(http.StatusMisdirectedRequest)
+	case blocked:
+		w.Header().Set("X-Not-Executed", "1")
+		w.Header().Set("At-Server", faults.RefuseFor)
+		w.WriteHeader(http.StatusServiceUnavailable)
 	case faults.Refuse:
 		w.Header().Set("X-Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -44,6 +44,9 @@
 	retryAfterJitter   = 0.5
 )
 
+// resultOK is the result of a request that ended well, for logs and metrics; other results are error kinds.
+const resultOK = "ok"
+
 var log = logging.For("gateway")
 
 // Options configures a Gateway.
@@ -400,11 +403,17 @@
 	if q.progress != nil {
 		got = q.progress()
 	}
-	log.Event("request ended", "request", q.ID, "result", result, "status", status, "route", routeName, "kind", kind,
+	fields := []any{
+		"request", q.ID, "result", result, "status", status, "route", routeName, "kind", kind,
 		"account", q.account.ID, "version", version, "ms", duration.Milliseconds(), "sends", q.sends, "runs", q.runs,
 		"limited", q.limited, "reroutes", got.reroutes, "events", got.events, "firstMs", got.first.Milliseconds(),
-		"pauseMs", got.longestPause.Milliseconds(),
-		"targets", strings.Join(q.trail, ";"), "reason", reason)
+		"pauseMs", got.longestPause.Milliseconds(), "targets", strings.Join(q.trail, ";"), "reason", reason,
+	}
+	if result == resultOK {
+		log.Routine("request ended", fields...)
+	} else {
+		log.Event("request ended", fields...)
+	}
 	if q.gateway.options.Ended != nil {
 		q.gateway.options.Ended(kind, result, duration)
 	}
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -162,7 +162,7 @@
 		q.ended(string(errkind.Canceled), strconv.Itoa(a.reply.Status))
 		return
 	}
-	q.ended("ok", strconv.Itoa(a.reply.Status))
+	q.ended(resultOK, strconv.Itoa(a.reply.Status))
 }
 
 func copyHeader(to, from http.Header) {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -144,7 +144,7 @@
 		x.finish()
 		s.begin(x) // also an answer without events bears the target's mark
 		s.gateway.succeeded(path.Stages[0].Target.ID)
-		s.ended("ok", "200")
+		s.ended(resultOK, "200")
 		return true, false
 	}
 	x.abort()
@@ -335,7 +335,7 @@
 }
 
 // refused notes which engine did not take the request, after the time that its answer took. One that refuses at once has no
-// room or is lost; its report tells.
+// room, is leaving or is lost; its report tells.
 func (s *stream) refused(ctx context.Context, reply Reply, after time.Duration) {
 	target, found := s.currentPath().Target(reply.FaultAddress)
 	if !found || reply.Status != http.StatusServiceUnavailable || after > maxShedTime {
@@ -347,7 +347,16 @@
 	s.gateway.dispatcher.Fleet.Shed(boottime.Now(), target.ID)
 	s.gateway.mu.Unlock()
 	log.Event("engine refused a stream", "target", target.ID, "request", s.ID, "ms", after.Milliseconds())
-	s.gateway.inspectAll(context.WithoutCancel(ctx), []fleet.Target{target})
+	go s.gateway.explainRefusal(context.WithoutCancel(ctx), target, s.ID)
+}
+
+// explainRefusal suspects an engine that refused a stream although it has room: it is leaving, which its entry may not show
+// while the store is down, or gives up layers.
+func (g *Gateway) explainRefusal(ctx context.Context, target fleet.Target, requestID string) {
+	report, err := g.inspector.inspect(ctx, target)
+	if err == nil && !report.Full() {
+		g.failed(target.ID, requestID, "refused a stream although it has room")
+	}
 }
 
 // blame notes which engine of the attempt's path failed: the one at address. Without one this stream avoids the whole path.
