Share the configuration of tests between the edge daemon's tests and the soak

The soak also noted disturbances that no check used. Change: edgeplatform.Configuration builds it; what was unused is gone. No check is changed. Ruled out: sharing the build of the binary between test and test/soak, nine lines in two packages of tests.

--- a/internal/edge/deployment_test.go
+++ b/internal/edge/deployment_test.go
@@ -22,7 +22,7 @@
 
 const (
 	streamEvents = 20
-	modelLayers  = 8
+	modelLayers  = edgeplatform.ModelLayers
 	waitLimit    = 10 * time.Second
 )
 
@@ -68,33 +68,8 @@
 
 func (d *deployment) configure(version int, keys ...string) {
 	d.t.Helper()
-	route := func(name, kind, service string, attempts int, sticky bool) map[string]any {
-		return map[string]any{
-			"name": name, "host": "x.example", "prefix": "/" + name + "/", "routeKind": kind, "timeoutMs": 5000,
-			"goalMs": 500, "gapGoalMs": 200, "priority": 1, "service": service, "maxAttempts": attempts,
-			"sticky": sticky, "resumable": sticky,
-		}
-	}
-	err := d.store.Put("op", "config", map[string]any{
-		"version": version,
-		"routes": []any{
-			route("gen", "streaming", "llm", 2, true), route("post", "non_idempotent", "ledger", 1, false),
-			route("read", "idempotent", "ledger", 2, false),
-		},
-		"services": []any{
-			map[string]any{"name": "ledger", "maxConns": 50},
-			map[string]any{"name": "llm", "maxConns": 50, "engine": map[string]any{
-				"slots": 8, "kvTokenBytes": 8000, "stride": 2, "step_ms": 1, "per_seq_ms": 0.01, "context_per_k": 0.01,
-				"read_per_s": 100000, "chunk": 512, "loads_at_once": 4, "layers": modelLayers, "layerMb": 100,
-				"actBytes": 1000, "pipeMbps": 1000, "usual": map[string]any{"prompt": 100, "answer": 40},
-				"models": []any{map[string]any{"name": "m", "loadS": 1}},
-				"kinds":  []any{map[string]any{"name": "small", "sizeMb": 450, "pace": 1, "readFactor": 1}},
-			}},
-		},
-		"limits":  map[string]any{"maxHeaderBytes": 8192, "maxBodyBytes": 4096, "headerTimeoutMs": 1000, "idleTimeoutMs": 5000},
-		"tenants": []any{map[string]any{"name": "account-1", "apiKeys": keys}},
-	})
-	if err != nil {
+	configuration := edgeplatform.Configuration{Version: version, Account: "account-1", Keys: keys, PostAttempts: 1}
+	if err := d.store.Put("op", "config", configuration.Row()); err != nil {
 		d.t.Fatal(err)
 	}
 }
@@ -209,7 +184,7 @@
 	if err != nil {
 		d.t.Fatal(err)
 	}
-	request.Host = "x.example"
+	request.Host = edgeplatform.Host
 	request.Header.Set("X-Request-Id", id)
 	request.Header.Set("X-Deadline-Ms", "4000")
 	request.Header.Set("X-Key", key)
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -271,7 +271,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		request.Host = "x.example"
+		request.Host = edgeplatform.Host
 		request.Header.Set("X-Request-Id", "leave"+path)
 		request.Header.Set("X-Key", "key-1")
 		ended := make(chan struct{})
--- /dev/null
+++ b/internal/emulator/edgeplatform/configuration.go
@@ -0,0 +1,48 @@
+package edgeplatform
+
+// The configuration that Configuration describes: routes of three kinds below Host, and the layers of the model.
+const (
+	Host        = "x.example"
+	ModelLayers = 8
+)
+
+// Configuration is an operator's configuration for tests: streams at /gen/ to the service llm, whose engines hold up to four
+// layers each, and postings at /post/ and lookups at /read/ to the service ledger.
+type Configuration struct {
+	Version int
+	// Account is the only client account, Keys are its keys.
+	Account string
+	Keys    []string
+	// PostAttempts is the largest number of targets to which a posting may be sent.
+	PostAttempts int
+}
+
+// Row returns the configuration as the operator writes it.
+func (c Configuration) Row() map[string]any {
+	return map[string]any{
+		"version": c.Version,
+		"routes": []any{
+			route("gen", "streaming", "llm", 2, true), route("post", "non_idempotent", "ledger", c.PostAttempts, false),
+			route("read", "idempotent", "ledger", 2, false),
+		},
+		"services": []any{
+			map[string]any{"name": "ledger", "maxConns": 50},
+			map[string]any{"name": "llm", "maxConns": 50, "engine": map[string]any{
+				"slots": 8, "kvTokenBytes": 8000, "stride": 2, "step_ms": 1, "per_seq_ms": 0.01, "context_per_k": 0.01,
+				"read_per_s": 100000, "chunk": 512, "loads_at_once": 4, "layers": ModelLayers, "layerMb": 100,
+				"actBytes": 1000, "pipeMbps": 1000, "usual": map[string]any{"prompt": 100, "answer": 40},
+				"models": []any{map[string]any{"name": "m", "loadS": 1}},
+				"kinds":  []any{map[string]any{"name": "small", "sizeMb": 450, "pace": 1, "readFactor": 1}},
+			}},
+		},
+		"limits":  map[string]any{"maxHeaderBytes": 8192, "maxBodyBytes": 4096, "headerTimeoutMs": 1000, "idleTimeoutMs": 5000},
+		"tenants": []any{map[string]any{"name": c.Account, "apiKeys": c.Keys}},
+	}
+}
+
+func route(name, kind, service string, attempts int, streams bool) map[string]any {
+	return map[string]any{
+		"name": name, "host": Host, "prefix": "/" + name + "/", "routeKind": kind, "timeoutMs": 5000, "goalMs": 500,
+		"gapGoalMs": 200, "priority": 1, "service": service, "maxAttempts": attempts, "sticky": streams, "resumable": streams,
+	}
+}
--- a/test/soak/callers_test.go
+++ b/test/soak/callers_test.go
@@ -11,6 +11,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/hyssophoist/hyssophoist/internal/emulator/edgeplatform"
 )
 
 // callerDeadline is how long a caller waits.
@@ -78,7 +80,7 @@
 		return
 	}
 	request.ContentLength = int64(len(s.body))
-	request.Host = "x.example"
+	request.Host = edgeplatform.Host
 	request.Header.Set("X-Request-Id", s.id)
 	request.Header.Set("X-Deadline-Ms", strconv.FormatInt(callerDeadline.Milliseconds(), 10))
 	request.Header.Set("X-Key", key)
--- a/test/soak/daemon_test.go
+++ b/test/soak/daemon_test.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -41,8 +40,8 @@
 	mu     sync.Mutex
 	cmd    *exec.Cmd
 	exited chan struct{}
-	// disturbed is when a fault last touched the daemon, started when its process was started.
-	disturbed, started, hungUp time.Time
+	// started is when the process was started, hungUp when a hangup signal was last sent.
+	started, hungUp time.Time
 	// ending says that the process was told to end.
 	ending bool
 	log    *os.File
@@ -171,29 +170,3 @@
 		return false
 	}
 }
-
-// disturb notes a fault that touches the daemon until a time from now.
-func (d *daemon) disturb(until time.Duration) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if end := time.Now().Add(until); end.After(d.disturbed) {
-		d.disturbed = end
-	}
-}
-
-// calmSince says whether no fault has touched the daemon since a time.
-func (d *daemon) calmSince(since time.Time) bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.disturbed.Before(since)
-}
-
-func (d *daemon) ready() bool {
-	client := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
-	response, err := client.Get("http://" + d.settings.Ready + "/api/readyz")
-	if err != nil {
-		return false
-	}
-	response.Body.Close()
-	return response.StatusCode == http.StatusOK
-}
--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -83,7 +83,6 @@
 		return skipped
 	}
 	defer f.release(f.w.store)
-	f.w.disturbStore(length)
 	f.w.store.SetFaults(fault)
 	time.Sleep(length)
 	f.w.store.SetFaults(edgeplatform.StoreFaults{})
@@ -105,7 +104,6 @@
 func (f *faults) storeCut(random *rand.Rand, length time.Duration) string {
 	d := f.w.daemons[random.IntN(len(f.w.daemons))]
 	direction := faultproxy.Direction(random.IntN(2))
-	d.disturb(length)
 	d.store.SetRules(direction, faultproxy.Rules{Blocked: true})
 	time.Sleep(length)
 	d.store.SetRules(direction, faultproxy.Rules{})
@@ -114,7 +112,6 @@
 
 func (f *faults) storeSilent(random *rand.Rand, _ time.Duration) string {
 	d := f.w.daemons[random.IntN(len(f.w.daemons))]
-	d.disturb(0)
 	d.store.Silence()
 	return d.name
 }
@@ -203,21 +200,19 @@
 	t.state = state
 }
 
-// withDaemon reserves a daemon and notes the disturbance.
-func (f *faults) withDaemon(random *rand.Rand, length time.Duration, do func(d *daemon)) string {
+// withDaemon reserves a daemon.
+func (f *faults) withDaemon(random *rand.Rand, do func(d *daemon)) string {
 	d := f.w.daemons[random.IntN(len(f.w.daemons))]
 	if !f.take(d) {
 		return skipped
 	}
 	defer f.release(d)
-	d.disturb(length)
 	do(d)
-	d.disturb(0)
 	return d.name
 }
 
 func (f *faults) daemonPaused(random *rand.Rand, length time.Duration) string {
-	return f.withDaemon(random, length, func(d *daemon) {
+	return f.withDaemon(random, func(d *daemon) {
 		d.signal(syscall.SIGSTOP)
 		time.Sleep(length)
 		d.signal(syscall.SIGCONT)
@@ -225,7 +220,7 @@
 }
 
 func (f *faults) daemonKilled(random *rand.Rand, length time.Duration) string {
-	return f.withDaemon(random, length, func(d *daemon) {
+	return f.withDaemon(random, func(d *daemon) {
 		d.end(syscall.SIGKILL)
 		d.wait(stopGrace)
 		time.Sleep(length / 4)
@@ -235,7 +230,7 @@
 
 // daemonStopped stops a daemon as planned: it must end by itself within its grace time.
 func (f *faults) daemonStopped(random *rand.Rand, length time.Duration) string {
-	return f.withDaemon(random, length, func(d *daemon) {
+	return f.withDaemon(random, func(d *daemon) {
 		d.end(syscall.SIGTERM)
 		if !d.wait(stopGrace + time.Second) {
 			f.w.t.Errorf("%s does not stop within %v", d.name, stopGrace)
@@ -247,7 +242,7 @@
 }
 
 func (f *faults) daemonHangup(random *rand.Rand, _ time.Duration) string {
-	return f.withDaemon(random, 0, func(d *daemon) {
+	return f.withDaemon(random, func(d *daemon) {
 		d.writeSettings()
 		d.mu.Lock()
 		d.hungUp = time.Now()
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -12,7 +12,7 @@
 )
 
 const (
-	modelLayers  = 8
+	modelLayers  = edgeplatform.ModelLayers
 	streamEvents = 30
 	heartbeat    = 50 * time.Millisecond
 	// lapse is how long the entry of a silent target stays in the list.
@@ -29,7 +29,6 @@
 
 	mu    sync.Mutex
 	state string // in the list of targets: "ready", "draining" or "" for none
-	drain time.Time
 }
 
 // world is a deployment: the store, targets in zones, and daemons.
@@ -40,11 +39,9 @@
 	daemons []*daemon
 
 	mu sync.Mutex
-	// version and key are of the configuration in force; changed is when the store took it, storeDisturbed until when a fault
-	// touches the store.
-	version        int
-	key            string
-	storeDisturbed time.Time
+	// version and key are of the configuration in force.
+	version int
+	key     string
 }
 
 // newWorld starts two zones, each with daemons instances, engines engines and one plain target.
@@ -117,48 +114,10 @@
 	defer w.mu.Unlock()
 	w.version += 3
 	w.key = key
-	route := func(name, kind, service string, attempts int, streams bool) map[string]any {
-		return map[string]any{
-			"name": name, "host": "x.example", "prefix": "/" + name + "/", "routeKind": kind, "timeoutMs": 5000,
-			"goalMs": 500, "gapGoalMs": 200, "priority": 1, "service": service, "maxAttempts": attempts,
-			"sticky": streams, "resumable": streams,
-		}
+	configuration := edgeplatform.Configuration{
+		Version: w.version, Account: accountName, Keys: []string{accountKey, key}, PostAttempts: 2,
 	}
-	err := w.store.Put("op", "config", map[string]any{
-		"version": w.version,
-		"routes": []any{
-			route("gen", "streaming", "llm", 2, true), route("post", "non_idempotent", "ledger", 2, false),
-			route("read", "idempotent", "ledger", 2, false),
-		},
-		"services": []any{
-			map[string]any{"name": "ledger", "maxConns": 50},
-			map[string]any{"name": "llm", "maxConns": 50, "engine": map[string]any{
-				"slots": 8, "kvTokenBytes": 8000, "stride": 2, "step_ms": 1, "per_seq_ms": 0.01, "context_per_k": 0.01,
-				"read_per_s": 100000, "chunk": 512, "loads_at_once": 4, "layers": modelLayers, "layerMb": 100,
-				"actBytes": 1000, "pipeMbps": 1000, "usual": map[string]any{"prompt": 100, "answer": 40},
-				"models": []any{map[string]any{"name": "m", "loadS": 1}},
-				"kinds":  []any{map[string]any{"name": "small", "sizeMb": 450, "pace": 1, "readFactor": 1}},
-			}},
-		},
-		"limits":  map[string]any{"maxHeaderBytes": 8192, "maxBodyBytes": 4096, "headerTimeoutMs": 1000, "idleTimeoutMs": 5000},
-		"tenants": []any{map[string]any{"name": accountName, "apiKeys": []string{accountKey, key}}},
-	})
-	if err != nil {
+	if err := w.store.Put("op", "config", configuration.Row()); err != nil {
 		w.t.Error(err)
 	}
 }
-
-// disturbStore notes a fault of the store until a time from now.
-func (w *world) disturbStore(until time.Duration) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if end := time.Now().Add(until); end.After(w.storeDisturbed) {
-		w.storeDisturbed = end
-	}
-}
-
-func (w *world) storeCalmSince(since time.Time) bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.storeDisturbed.Before(since)
-}
