Make one change of a stream's path at a time

Cause: found when reading the change as a newcomer: a stream that is to leave a lost engine and one that gives up layers at the same moment could order two paths; the engine kept the last order, this instance the last answer. Its questions then went to the wrong engines, and its counts of load were off until the stream ended.

Change: a lock for each stream; a change that finds its engines already left orders nothing.

Ruled out: a wrong path at the engine: both orders name whole paths.

Figures: TestReroutesOneAtATime without the lock: the engine on a-b2-c and this instance on a-b-c2, three orders; with it a-b2-c2, two orders.

--- a/internal/gateway/reroute.go
+++ b/internal/gateway/reroute.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/hyssophoist/hyssophoist/core/dispatch"
@@ -64,7 +65,10 @@
 }
 
 // leave has other engines take the layers of some, on the connection of the attempt; crossing allows engines of any zone.
+// One change of path is made at a time, so that the engine and this instance agree on the last one.
 func (s *stream) leave(ctx context.Context, targets []fleet.Target, crossing bool) bool {
+	s.rerouting.Lock()
+	defer s.rerouting.Unlock()
 	if s.reroutes.Load() >= maxReroutes {
 		return false
 	}
@@ -74,6 +78,9 @@
 	}
 	avoid := make(map[entity.TargetID]bool)
 	for range maxRerouteOrders {
+		if !slices.ContainsFunc(s.targets(), func(target fleet.Target) bool { return left[target.ID] }) {
+			return ctx.Err() == nil // an earlier change has left them, or the attempt has ended
+		}
 		old, changed := s.chooseReroute(left, avoid, crossing)
 		if changed == nil {
 			log.Event("no other engines for a stream", "request", s.ID, "left", len(left), "avoided", len(avoid))
@@ -112,21 +119,11 @@
 
 // evacuate reroutes an attempt around an engine if it still uses that one.
 func (s *stream) evacuate(ctx context.Context, target fleet.Target, crossing bool) {
-	if ctx.Err() == nil && s.passesThrough(target.ID) {
+	if ctx.Err() == nil {
 		s.leave(ctx, []fleet.Target{target}, crossing)
 	}
 }
 
-// passesThrough says whether the attempt in progress uses an engine.
-func (s *stream) passesThrough(id entity.TargetID) bool {
-	for _, target := range s.targets() {
-		if target.ID == id {
-			return true
-		}
-	}
-	return false
-}
-
 // chooseReroute returns the path of the attempt and the one to replace it, nil if there is none. The latter is reserved.
 func (s *stream) chooseReroute(fault, avoid map[entity.TargetID]bool, crossing bool) (old, changed *dispatch.Path) {
 	s.gateway.mu.Lock()
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -44,8 +45,9 @@
 	avoid   map[entity.TargetID]bool
 	path    *dispatch.Path
 	attempt context.Context
-	// reroutes counts the changes of path within an attempt.
-	reroutes atomic.Int32
+	// reroutes counts the changes of path within an attempt; rerouting is held while one is made.
+	reroutes  atomic.Int32
+	rerouting sync.Mutex
 	// resumable says that another attempt may follow the one in progress.
 	resumable bool
 	// begun says that the head of the answer has been sent, with the first event.
--- a/internal/gateway/watchdog_test.go
+++ b/internal/gateway/watchdog_test.go
@@ -11,6 +11,7 @@
 	"github.com/hyssophoist/hyssophoist/core/dispatch"
 	"github.com/hyssophoist/hyssophoist/core/entity"
 	"github.com/hyssophoist/hyssophoist/core/fleet"
+	"github.com/hyssophoist/hyssophoist/core/routing"
 )
 
 // fakeEngines gives reports for the engines that are not dead and counts the questions.
@@ -18,6 +19,9 @@
 	mu    sync.Mutex
 	dead  map[entity.TargetID]bool
 	asked []entity.TargetID
+	// rerouted holds the paths that were ordered; each order takes orderTime.
+	rerouted  [][]Hop
+	orderTime time.Duration
 }
 
 func (e *fakeEngines) Report(_ context.Context, target fleet.Target) (fleet.Report, error) {
@@ -30,7 +34,11 @@
 	return fleet.Report{Born: target.Born}, nil
 }
 
-func (e *fakeEngines) Reroute(context.Context, fleet.Target, string, []Hop) (Reroute, error) {
+func (e *fakeEngines) Reroute(_ context.Context, _ fleet.Target, _ string, path []Hop) (Reroute, error) {
+	time.Sleep(e.orderTime)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.rerouted = append(e.rerouted, path)
 	return Reroute{Outcome: Rerouted}, nil
 }
 
@@ -123,3 +131,51 @@
 		w.stop()
 	}
 }
+
+// TestReroutesOneAtATime guards that a stream that is to leave two engines at the same moment, one that is lost and one that
+// gives up layers, ends on a path without both. Orders that overlapped would leave the engine on one path and this instance
+// with the other.
+func TestReroutesOneAtATime(t *testing.T) {
+	engines := &fakeEngines{orderTime: 20 * time.Millisecond}
+	g := New(Options{Engines: engines, Zone: "a"})
+	service := &routing.Service{ID: "llm", Engine: &routing.Engine{
+		Layers: 3, LayerBytes: 1e9, TokenBytes: 3000, PrefillRate: 1000, StepTime: time.Millisecond, MaxSequences: 100,
+		Cards: map[string]routing.Card{"card": {MemoryBytes: 4e9, Pace: 1, ReadFactor: 1}},
+	}}
+	for i, id := range []entity.TargetID{"a", "b", "c", "b2", "c2"} {
+		from := (i-1)%2 + 1
+		if i == 0 {
+			from = 0
+		}
+		g.dispatcher.Fleet.Put(fleet.Target{
+			ID: id, Service: "llm", Zone: "a", Card: "card", Born: 1, Layers: entity.LayerRange{From: from, To: from + 1},
+		})
+	}
+	s := addStream(g, "s", 0, pathOver("a", "b", "c"))
+	s.service, s.route = service, &routing.Route{}
+	for i := range s.path.Stages {
+		s.path.Stages[i].Target.Zone = "a"
+	}
+	var leaving sync.WaitGroup
+	for _, id := range []entity.TargetID{"b", "c"} {
+		leaving.Go(func() {
+			if !s.leave(context.Background(), []fleet.Target{{ID: id}}, false) {
+				t.Errorf("the stream does not leave %s", id)
+			}
+		})
+	}
+	leaving.Wait()
+	var got []entity.TargetID
+	for _, target := range s.targets() {
+		got = append(got, target.ID)
+	}
+	if want := []entity.TargetID{"a", "b2", "c2"}; !slices.Equal(got, want) {
+		t.Errorf("the stream is on %v, want %v", got, want)
+	}
+	if last := engines.rerouted[len(engines.rerouted)-1]; last[1].Target != "b2" || last[2].Target != "c2" {
+		t.Errorf("the engine is on %v", last)
+	}
+	if s.leave(context.Background(), []fleet.Target{{ID: "b"}}, false); len(engines.rerouted) != 2 {
+		t.Errorf("%d orders, want 2", len(engines.rerouted))
+	}
+}
