Give the test of the operators' page the logs that its example names

Change: the test writes the two files with a line of that request, so the example is run for real. Ruled out: taking the example out of the form that the test recognises; it would not be checked.

--- a/test/readme_test.go
+++ b/test/readme_test.go
@@ -78,6 +78,12 @@
 	joining := preset.Targets[0]
 	joining.ID = "engine-41"
 	writeJSON(t, filepath.Join(directory, "engine-41.json"), joining)
+	for _, instance := range []string{"edge-a-1", "edge-b-2"} {
+		line := `I1204 11:38:15.000000   21947 gateway.go:403] "gateway: request ended" request="9c41d07be2a35f68" result="ok" ms=9`
+		if err := os.WriteFile(filepath.Join(directory, instance+".log"), []byte(line+"\n"), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
 	dev := start(t, "dev", "dev", "--caller-address", "127.0.0.1:0", "--admin-address", "127.0.0.1:0")
 	for _, line := range commands {
 		fields := strings.Fields(strings.ReplaceAll(line, "daemon-3", "dev"))
