Leave placement to the collectors of the zones

Cause: every instance planned placements every 100 ms and read the lease once its delay had passed. The delay was bounded at rank 7, so with 195 instances nearly all of them read the lease together, twice a second, as long as orders were needed.

Change: only the collector of each zone plans and takes the lease; each waits 300 ms for every collector of another zone with a lower id. A collector that is lost is replaced within one or two exchanges of loads.

--- a/core/loadshare/loadshare.go
+++ b/core/loadshare/loadshare.go
@@ -155,15 +155,18 @@
 	return collectors
 }
 
-// Rank returns the number of instances in all zones that are not down and have a lower ID than this one.
-func (t *Table) Rank(now time.Time) int {
-	rank := 0
-	for id, m := range t.members {
-		if id < t.self.ID && !now.Before(m.downUntil) {
+// CollectorRank returns the number of collectors of other zones with a lower ID than this instance. It reports false if
+// this instance is not a collector.
+func (t *Table) CollectorRank(now time.Time) (rank int, isCollector bool) {
+	if t.Collector(now).ID != t.self.ID {
+		return 0, false
+	}
+	for _, collector := range t.OtherCollectors(now) {
+		if collector.ID < t.self.ID {
 			rank++
 		}
 	}
-	return rank
+	return rank, true
 }
 
 // RecordContact records that an instance has answered or called, which ends its backoff.
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -101,7 +101,7 @@
 func newPlacer(s *settings.Edge, g *gateway.Gateway, engines *platform.EngineClient, store *platform.Store,
 	sharer *loadshare.Sharer, m *Metrics) *placer.Placer {
 	return placer.New(placer.Options{
-		Daemon: entity.DaemonID(s.Daemon), View: g, Engines: engines, Table: store, Rank: sharer.Rank,
+		Daemon: entity.DaemonID(s.Daemon), View: g, Engines: engines, Table: store, Rank: sharer.CollectorRank,
 		OrderGiven: func(o placer.Outcome) { m.Orders.WithLabelValues(o.String()).Inc() },
 	})
 }
--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -128,11 +128,12 @@
 	}
 }
 
-// Rank returns the number of live instances with a lower id, as far as this one knows.
-func (s *Sharer) Rank() int {
+// CollectorRank returns the rank of this instance among the collectors of all zones, as far as it knows. It reports false
+// if this instance is not a collector.
+func (s *Sharer) CollectorRank() (rank int, isCollector bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.table.Rank(time.Now())
+	return s.table.CollectorRank(time.Now())
 }
 
 // rpcService exports the RPC methods.
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -44,10 +44,9 @@
 	orderTimeout = 500 * time.Millisecond
 	// leaseReadInterval is the time between two reads of a lease that another instance holds.
 	leaseReadInterval = 500 * time.Millisecond
-	// rankDelay is how long an instance waits for each instance that should act before it, and maxRankDelay bounds the
-	// sum. In most cases only one instance then calls the store when all of them see that orders are needed.
-	rankDelay    = 300 * time.Millisecond
-	maxRankDelay = 2 * time.Second
+	// rankDelay is how long an instance waits for each instance that should act before it. In most cases only one instance
+	// then calls the store when all candidates see that orders are needed.
+	rankDelay = 300 * time.Millisecond
 	// minConfirmTimeout is the minimum time after which an order that does not appear in the engine's entry in the store
 	// is given up. The timeout is loadTimeFactor times the expected load time if that is longer.
 	minConfirmTimeout = 3 * time.Second
@@ -104,8 +103,9 @@
 	View    View
 	Engines Engines
 	Table   platform.TableStore
-	// Rank returns the number of instances that should act before this one.
-	Rank func() int
+	// Rank returns the number of instances that should act before this one. It reports false if this instance leaves
+	// placement to others.
+	Rank func() (rank int, candidate bool)
 	// OrderGiven, if set, is called with the outcome of each order.
 	OrderGiven func(outcome Outcome)
 }
@@ -190,9 +190,14 @@
 		p.stepLease(ctx, now, false)
 		return
 	}
-	orders, targets := p.plan(now)
+	var orders []placement.Order
+	var targets map[entity.TargetID]fleet.Target
+	rank, candidate := p.options.Rank()
+	if candidate {
+		orders, targets = p.plan(now)
+	}
 	outstanding := p.expire(now)
-	want := outstanding || p.due(now, len(orders) > 0)
+	want := outstanding || p.due(now, len(orders) > 0, rank)
 	p.stepLease(ctx, now, want)
 	if len(orders) == 0 {
 		return
@@ -205,15 +210,15 @@
 	p.sendOrders(ctx, orders, targets, fencing, left)
 }
 
-// due reports whether orders have been needed for at least this instance's delay.
-func (p *Placer) due(now time.Time, need bool) bool {
+// due reports whether orders have been needed for at least the delay of this instance's rank.
+func (p *Placer) due(now time.Time, need bool, rank int) bool {
 	if !need {
 		p.neededSince = time.Time{}
 		return false
 	}
 	if p.neededSince.IsZero() {
 		p.neededSince = now
-		p.delay = min(maxRankDelay, time.Duration(p.options.Rank())*rankDelay)
+		p.delay = time.Duration(rank) * rankDelay
 	}
 	return now.Sub(p.neededSince) >= p.delay
 }
