--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -159,8 +159,12 @@
 	}
 }
 
-// RecordStoreFailure records that the store did not answer at time now.
-func (f *Fleet) RecordStoreFailure(now time.Time) { f.lastStoreFailure = now }
+// RecordStoreFailure records that the store did not answer at the given time. Other instances may report failures late.
+func (f *Fleet) RecordStoreFailure(at time.Time) {
+	if at.After(f.lastStoreFailure) {
+		f.lastStoreFailure = at
+	}
+}
 
 // Tick drops the targets whose removal grace period has ended.
 func (f *Fleet) Tick(now time.Time) {
--- a/core/loadshare/loadshare.go
+++ b/core/loadshare/loadshare.go
@@ -1,9 +1,10 @@
 // Package loadshare tells each instance of a deployment the load that the other instances put on engines.
 //
-// In each zone the member with the lowest ID that is not down is the collector: it receives the loads of the other
-// members and replies to each with the sum of all loads except that member's own. The collectors of the zones exchange
-// their sums. Thus a member sends one message per period regardless of the number of instances, and the member with the
-// next ID replaces a failed collector. The package does no I/O and reads no clock; callers pass the time in.
+// In each zone the first member, in the order of capacity and then ID, that is not down is the collector: it receives the
+// loads of the other members and replies to each with the sum of all loads except that member's own. The collectors of the
+// zones exchange their sums. Thus a member sends one message per period regardless of the number of instances, and the next
+// member replaces a failed collector. The collector also names the reader of its zone, which follows the tables of the
+// store for the other members. The package does no I/O and reads no clock; callers pass the time in.
 package loadshare
 
 import (
@@ -67,12 +68,27 @@
 	Address string
 	// Incarnation distinguishes successive processes of an instance; a later process has a greater value.
 	Incarnation uint64
+	// Capacity is the processor share of the instance, in thousandths of a core; 0 if unknown.
+	Capacity int
+}
+
+// compareMembers orders the members of a zone. Members with more capacity come first, since the work of a collector grows
+// with the number of instances.
+func compareMembers(a, b Member) int {
+	return cmp.Or(cmp.Compare(b.Capacity, a.Capacity), cmp.Compare(a.ID, b.ID))
+}
+
+// Report is what a member tells the collector of its zone.
+type Report struct {
+	Loads Loads
+	// ReadsFailing reports whether the member cannot read the store.
+	ReadsFailing bool
 }
 
 // member is an entry of the table.
 type member struct {
 	Member
-	loads       Loads
+	report      Report
 	lastContact time.Time
 	failures    int
 	downUntil   time.Time
@@ -113,11 +129,14 @@
 	}
 }
 
-// Members returns the members of this instance's zone that are not down, sorted by ID, and then this instance.
+// Members returns this instance and the other members of its zone that are not down, in the order of compareMembers.
 func (t *Table) Members(now time.Time) []Member {
-	return append(t.upMembers(now, t.self.Zone), t.self)
+	members := append(t.upMembers(now, t.self.Zone), t.self)
+	slices.SortFunc(members, compareMembers)
+	return members
 }
 
+// upMembers returns the other instances of a zone that are not down, in the order of compareMembers.
 func (t *Table) upMembers(now time.Time, zone entity.ZoneID) []Member {
 	var members []Member
 	for _, m := range t.members {
@@ -125,17 +144,25 @@
 			members = append(members, m.Member)
 		}
 	}
-	slices.SortFunc(members, func(a, b Member) int { return cmp.Compare(a.ID, b.ID) })
+	slices.SortFunc(members, compareMembers)
 	return members
 }
 
 // Collector returns the collector of this instance's zone, which may be this instance.
-func (t *Table) Collector(now time.Time) Member {
-	members := t.upMembers(now, t.self.Zone)
-	if len(members) == 0 || t.self.ID < members[0].ID {
+func (t *Table) Collector(now time.Time) Member { return t.Members(now)[0] }
+
+// Reader returns the member that follows the tables of the store for this instance's zone: the first one in contact that
+// can read the store, beginning with this instance, the collector. ownReadsFailing reports whether this one cannot.
+func (t *Table) Reader(now time.Time, ownReadsFailing bool) Member {
+	if !ownReadsFailing {
 		return t.self
 	}
-	return members[0]
+	for _, candidate := range t.InContact(now) {
+		if !t.members[candidate.ID].report.ReadsFailing {
+			return candidate
+		}
+	}
+	return t.self
 }
 
 // OtherCollectors returns the collectors of the other zones, sorted by ID.
@@ -155,6 +182,11 @@
 	return collectors
 }
 
+// Rank returns the number of members of this instance's zone that are not down and come before it.
+func (t *Table) Rank(now time.Time) int {
+	return slices.IndexFunc(t.Members(now), func(m Member) bool { return m.ID == t.self.ID })
+}
+
 // CollectorRank returns the number of collectors of other zones with a lower ID than this instance. It reports false if
 // this instance is not a collector.
 func (t *Table) CollectorRank(now time.Time) (rank int, isCollector bool) {
@@ -207,14 +239,20 @@
 	return removed
 }
 
-// SetLoads stores the loads of a member of this instance's zone, unless they come from an earlier incarnation.
-func (t *Table) SetLoads(now time.Time, from Member, loads Loads) {
+// SetReport stores the report of a member of this instance's zone, unless it comes from an earlier incarnation.
+func (t *Table) SetReport(now time.Time, from Member, report Report) {
 	t.RecordContact(now, from)
 	if m := t.members[from.ID]; m != nil && m.Incarnation == from.Incarnation {
-		m.loads = loads
+		m.report = report
 	}
 }
 
+// InContact returns the other members of this instance's zone whose loads still count according to loadTTL.
+func (t *Table) InContact(now time.Time) []Member {
+	members := t.upMembers(now, t.self.Zone)
+	return slices.DeleteFunc(members, func(m Member) bool { return now.Sub(t.members[m.ID].lastContact) >= loadTTL })
+}
+
 // SetZoneLoads stores the load sum and the number of instances of another zone.
 func (t *Table) SetZoneLoads(now time.Time, zone entity.ZoneID, loads Loads, instances int) {
 	t.zones[zone] = zoneSum{loads: loads, instances: instances, updated: now}
@@ -228,7 +266,7 @@
 	instances := 1
 	for _, m := range t.members {
 		if m.Zone == t.self.Zone && now.Sub(m.lastContact) < loadTTL {
-			sum.add(m.loads)
+			sum.add(m.report.Loads)
 			instances++
 		}
 	}
@@ -256,7 +294,7 @@
 		instances.Zone++
 		instances.All++
 		if id != except {
-			sum.add(m.loads)
+			sum.add(m.report.Loads)
 		}
 	}
 	for _, zone := range t.zones {
--- a/core/loadshare/loadshare_test.go
+++ b/core/loadshare/loadshare_test.go
@@ -35,6 +35,9 @@
 	if got := table.Collector(start).ID; got != "a" {
 		t.Errorf("collector after a has answered: %s", got)
 	}
+	if got := table.Rank(start); got != 1 {
+		t.Errorf("rank %d", got)
+	}
 	if got := table.OtherCollectors(start); len(got) != 1 || got[0].ID != "d" {
 		t.Errorf("collectors of other zones: %v", got)
 	}
@@ -44,8 +47,8 @@
 // lost instances and zones that still count after their TTL.
 func TestOthers(t *testing.T) {
 	table := New(instance("a", "z"))
-	table.SetLoads(start, instance("b", "z"), Loads{"e1": {Sequences: 2, Cache: 20}})
-	table.SetLoads(start, instance("c", "z"), Loads{"e1": {Sequences: 3, Cache: 30}})
+	table.SetReport(start, instance("b", "z"), Report{Loads: Loads{"e1": {Sequences: 2, Cache: 20}}})
+	table.SetReport(start, instance("c", "z"), Report{Loads: Loads{"e1": {Sequences: 3, Cache: 30}}})
 	table.SetZoneLoads(start, "y", Loads{"e1": {Sequences: 5, Cache: 50}}, 4)
 	own := Loads{"e1": {Sequences: 1, Cache: 10}}
 	for except, want := range map[entity.DaemonID]int32{"a": 10, "b": 9, "c": 8} {
@@ -67,9 +70,9 @@
 	table := New(instance("a", "z"))
 	old, restarted := instance("b", "z"), instance("b", "z")
 	restarted.Incarnation = 2
-	table.SetLoads(start, old, Loads{"e1": {Sequences: 9}})
-	table.SetLoads(start, restarted, Loads{"e1": {Sequences: 1}})
-	table.SetLoads(start, old, Loads{"e1": {Sequences: 9}})
+	table.SetReport(start, old, Report{Loads: Loads{"e1": {Sequences: 9}}})
+	table.SetReport(start, restarted, Report{Loads: Loads{"e1": {Sequences: 1}}})
+	table.SetReport(start, old, Report{Loads: Loads{"e1": {Sequences: 9}}})
 	if got, _ := table.Others(start, nil, "a"); got["e1"].Sequences != 1 {
 		t.Errorf("loads %+v", got)
 	}
@@ -88,6 +91,45 @@
 	}
 }
 
+// TestCollectorCapacity guards against a small instance that collects for its zone although a larger one is there.
+func TestCollectorCapacity(t *testing.T) {
+	large := instance("c", "z")
+	large.Capacity = 800
+	table := New(instance("b", "z"))
+	table.Add(instance("a", "z"), large)
+	if got := table.Collector(start).ID; got != "c" {
+		t.Errorf("collector %s, want the largest instance", got)
+	}
+	table.RecordFailure(start, "c")
+	if got := table.Collector(start).ID; got != "a" {
+		t.Errorf("collector %s without the largest instance, want the one with the lowest id", got)
+	}
+}
+
+// TestReader guards against a zone whose reader cannot read the store although another member can, and against a reader that
+// is not in contact.
+func TestReader(t *testing.T) {
+	table := New(instance("a", "z"))
+	table.Add(instance("never-seen", "z"))
+	table.SetReport(start, instance("b", "z"), Report{ReadsFailing: true})
+	table.SetReport(start, instance("c", "z"), Report{})
+	table.SetReport(start, instance("d", "z"), Report{})
+	for _, test := range []struct {
+		name    string
+		failing bool
+		at      time.Duration
+		want    entity.DaemonID
+	}{
+		{"own reads succeed", false, 0, "a"},
+		{"own reads fail", true, 0, "c"},
+		{"contact to all others is lost", true, loadTTL, "a"},
+	} {
+		if got := table.Reader(start.Add(test.at), test.failing).ID; got != test.want {
+			t.Errorf("%s: reader %s, want %s", test.name, got, test.want)
+		}
+	}
+}
+
 // TestCollectorRank guards against 195 instances that all plan placements and read the lease at the same time: only the
 // collector of each zone does, and each waits for those before it.
 func TestCollectorRank(t *testing.T) {
--- /dev/null
+++ b/core/tablecache/cache.go
@@ -0,0 +1,256 @@
+// Package tablecache keeps an instance's copy of a table of the platform's store, and decides which instances read the
+// table from the store.
+//
+// With hundreds of instances, a read by each of them for each change is most of the load on the store. In each zone one
+// instance therefore follows the table in the store, and the others take its changes from other instances. Each message
+// between them carries the version up to which it is complete and the time since the store confirmed that, so that an
+// instance knows how old its copy is whichever way the rows came. An instance whose copy is too old reads the store itself.
+//
+// The package does no I/O and reads no clock: callers pass the time in.
+package tablecache
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// maxBatchRows bounds the rows of a batch for another instance, so that a batch passes within the timeout of a call on
+	// the slowest link.
+	maxBatchRows = 500
+	// maxTombstones bounds the deleted rows that are remembered for instances that have not received the deletion.
+	maxTombstones = 2000
+	// outageMemory is how long an outage of the store is passed on to other instances.
+	outageMemory = 10 * time.Second
+)
+
+// Row is a row of a table, or its deletion if Deleted is set.
+type Row struct {
+	Key     string
+	Version uint64
+	Value   []byte
+	Deleted bool
+}
+
+// Batch holds rows of a table: all changes after the version After, or the whole table if Full is set.
+type Batch struct {
+	After uint64
+	Full  bool
+	Rows  []Row
+	// Version is the version of the store up to which the batch is complete.
+	Version uint64
+	// Age is the time since the store confirmed that there are no changes after Version other than those in Rows.
+	Age time.Duration
+	// OutageAge is the time since the last failed read of an outage of the store that preceded this content; 0 if there was
+	// none. Entries of targets may have lapsed in an outage.
+	OutageAge time.Duration
+}
+
+// State describes the copy of an instance to the others.
+type State struct {
+	// Loaded reports whether the instance has a copy.
+	Loaded bool
+	// Version is the version up to which the copy is complete, and Age the time since the store confirmed it.
+	Version uint64
+	Age     time.Duration
+}
+
+// Change is what a batch has changed in a cache.
+type Change struct {
+	// Replaced reports whether Rows holds the whole table; it then has no deletions.
+	Replaced bool
+	// Rows holds the new and changed rows in the order of their versions.
+	Rows []Row
+	// OutageAt is the time of an outage that was not known before; zero if there is none.
+	OutageAt time.Time
+}
+
+// Cache is an instance's copy of a table. Rows never go back to an earlier version. It is not safe for concurrent use.
+type Cache struct {
+	loaded bool
+	// rows holds the rows by key, including deleted ones after completeSince.
+	rows       map[string]Row
+	tombstones int
+	// completeSince is the version after which rows holds all changes, including deletions.
+	completeSince uint64
+	// version is the version up to which rows is complete, newest the highest version of a row.
+	version, newest uint64
+	confirmedAt     time.Time
+	// failedSince is the time of the first failed read since the last successful one, failedAt that of the last.
+	failedSince, failedAt time.Time
+	outageAt              time.Time
+}
+
+// Loaded reports whether the cache has a copy of the table.
+func (c *Cache) Loaded() bool { return c.loaded }
+
+// Version returns the version up to which the copy is complete.
+func (c *Cache) Version() uint64 { return c.version }
+
+// Newest returns the highest version of a row.
+func (c *Cache) Newest() uint64 { return c.newest }
+
+// ConfirmedAt returns the time at which the store last confirmed the copy.
+func (c *Cache) ConfirmedAt() time.Time { return c.confirmedAt }
+
+// State returns the state to tell other instances.
+func (c *Cache) State(now time.Time) State {
+	return State{Loaded: c.loaded, Version: c.version, Age: c.age(now)}
+}
+
+func (c *Cache) age(now time.Time) time.Duration { return max(0, now.Sub(c.confirmedAt)) }
+
+// RecordFailure records that a read of the store by this instance failed at time now.
+func (c *Cache) RecordFailure(now time.Time) {
+	if c.failedSince.IsZero() {
+		c.failedSince = now
+	}
+	c.failedAt = now
+}
+
+// ApplyRead applies a batch that this instance has read from the store. Failed reads before it count as an outage of the
+// store only if no other instance has read the table meanwhile; else only this instance was cut off.
+func (c *Cache) ApplyRead(now time.Time, batch Batch) Change {
+	if !c.failedSince.IsZero() && c.confirmedAt.Before(c.failedSince) {
+		c.outageAt = c.failedAt
+	}
+	c.failedSince, c.failedAt = time.Time{}, time.Time{}
+	return c.apply(now, batch)
+}
+
+// ApplyShared applies a batch from another instance. A batch that leaves a gap after this copy is ignored.
+func (c *Cache) ApplyShared(now time.Time, batch Batch) Change {
+	outageAt := time.Time{}
+	if batch.OutageAge > 0 {
+		if at := now.Add(-batch.OutageAge); at.After(c.outageAt) {
+			c.outageAt, outageAt = at, at
+		}
+	}
+	change := c.apply(now, batch)
+	change.OutageAt = outageAt
+	return change
+}
+
+func (c *Cache) apply(now time.Time, batch Batch) Change {
+	switch {
+	case !batch.Full && (!c.loaded || batch.After > c.version):
+		return Change{}
+	case batch.Full && (!c.loaded || batch.Version > c.version):
+		c.confirm(now, batch)
+		return c.replace(batch)
+	}
+	c.confirm(now, batch)
+	return c.merge(batch)
+}
+
+// confirm records when the store confirmed the batch. The confirmation of an earlier version holds for this copy as well:
+// all changes before that time are in the batch, and so in the copy.
+func (c *Cache) confirm(now time.Time, batch Batch) {
+	if at := now.Add(-batch.Age); at.After(c.confirmedAt) {
+		c.confirmedAt = at
+	}
+}
+
+// merge applies changed rows. Those up to the version of the copy are already reflected in it.
+func (c *Cache) merge(batch Batch) Change {
+	var change Change
+	for _, row := range batch.Rows {
+		known := c.rows[row.Key]
+		if row.Version <= max(c.version, known.Version) {
+			continue
+		}
+		c.put(row)
+		change.Rows = append(change.Rows, row)
+	}
+	c.version = max(c.version, batch.Version)
+	c.pruneTombstones()
+	return change
+}
+
+// replace replaces the copy by a whole table. Rows that are newer than the table stay.
+func (c *Cache) replace(batch Batch) Change {
+	previous := c.rows
+	c.rows, c.tombstones = make(map[string]Row, len(batch.Rows)), 0
+	c.loaded, c.completeSince, c.version = true, batch.Version, batch.Version
+	for _, row := range batch.Rows {
+		c.put(row)
+	}
+	for key, row := range previous {
+		if row.Version > batch.Version && row.Version > c.rows[key].Version {
+			c.put(row)
+		}
+	}
+	return Change{Replaced: true, Rows: c.Rows()}
+}
+
+func (c *Cache) put(row Row) {
+	if c.rows[row.Key].Deleted {
+		c.tombstones--
+	}
+	if row.Deleted {
+		c.tombstones++
+	}
+	c.rows[row.Key] = row
+	c.newest = max(c.newest, row.Version)
+}
+
+// pruneTombstones forgets the deleted rows when there are too many. Instances whose copies are older then get the whole
+// table.
+func (c *Cache) pruneTombstones() {
+	if c.tombstones <= maxTombstones {
+		return
+	}
+	for key, row := range c.rows {
+		if row.Deleted && row.Version <= c.version {
+			delete(c.rows, key)
+			c.tombstones--
+		}
+	}
+	c.completeSince = c.version
+}
+
+// Rows returns the rows that are not deleted, in the order of their versions.
+func (c *Cache) Rows() []Row {
+	return c.collect(func(row Row) bool { return !row.Deleted })
+}
+
+func (c *Cache) collect(include func(Row) bool) []Row {
+	var rows []Row
+	for _, row := range c.rows {
+		if include(row) {
+			rows = append(rows, row)
+		}
+	}
+	slices.SortFunc(rows, func(a, b Row) int {
+		return cmp.Or(cmp.Compare(a.Version, b.Version), cmp.Compare(a.Key, b.Key))
+	})
+	return rows
+}
+
+// Since returns a batch for an instance whose copy is in the given state. It returns nil if this copy is of no use to that
+// instance: this one has no copy, or the batch would have too many rows, so that the other instance must read the store.
+func (c *Cache) Since(now time.Time, state State) *Batch {
+	if !c.loaded {
+		return nil
+	}
+	batch := &Batch{After: state.Version, Version: c.version, Age: c.age(now)}
+	if !c.outageAt.IsZero() && now.Sub(c.outageAt) < outageMemory {
+		batch.OutageAge = max(1, now.Sub(c.outageAt))
+	}
+	switch {
+	case !state.Loaded || state.Version < c.completeSince:
+		batch.Full, batch.Rows = true, c.Rows()
+	case state.Version < c.newest:
+		batch.Rows = c.collect(func(row Row) bool { return row.Version > state.Version })
+	}
+	if len(batch.Rows) > maxBatchRows {
+		return nil
+	}
+	return batch
+}
+
+// IsNews reports whether this copy has changes or a clearly later confirmation for an instance in the given state.
+func (c *Cache) IsNews(now time.Time, state State) bool {
+	return c.loaded && (!state.Loaded || c.version > state.Version || c.age(now)+minFresher < state.Age)
+}
--- a/internal/edge/deployment_test.go
+++ b/internal/edge/deployment_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -33,7 +34,8 @@
 	engines []*edgeplatform.Target
 	plain   []*edgeplatform.Target
 	daemons []*Daemon
-	apps    []*fx.App
+	// stops holds a function for each daemon that stops it without draining.
+	stops []func()
 }
 
 // newDeployment starts a store with a configuration, two engines in each of two zones, which can each hold 4 of 8
@@ -88,8 +90,15 @@
 
 func (d *deployment) addDaemon(zone string) *Daemon {
 	d.t.Helper()
+	daemon := d.startDaemon(d.daemonSettings(zone))
+	d.waitUntil("daemon is ready", func() bool { return daemon.notReadyReason() == "" })
+	return daemon
+}
+
+// daemonSettings returns settings for the next daemon, with addresses of its own.
+func (d *deployment) daemonSettings(zone string) *settings.Edge {
 	ip := uniqueLoopbackIP(daemonsStarted.Add(1))
-	s := &settings.Edge{
+	return &settings.Edge{
 		Daemon: fmt.Sprintf("edge-%d", len(d.daemons)), Zone: zone, Front: ip + ":8000", Ready: ip + ":8001",
 		Peer: ip + ":8002", Metrics: ip + ":8003", MemoryMB: 100, StopGrace: settings.Duration(5 * time.Second),
 		FirstStart: true,
@@ -97,20 +106,25 @@
 		Retries: settings.Retries{Ratio: 0.2, Slack: 2000, Span: settings.Duration(10 * time.Second)},
 		Store:   settings.Store{Address: d.store.Address(), Timeout: settings.Duration(time.Second)},
 	}
+}
+
+// startDaemon starts a daemon, which the test stops at its end unless it has stopped it before.
+func (d *deployment) startDaemon(s *settings.Edge) *Daemon {
+	d.t.Helper()
 	var daemon *Daemon
 	app := fx.New(Module, fx.Supply(s), fx.Populate(&daemon),
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }))
 	if err := app.Start(context.Background()); err != nil {
 		d.t.Fatal(err)
 	}
-	d.t.Cleanup(func() {
+	stop := sync.OnceFunc(func() {
 		if err := app.Stop(context.Background()); err != nil {
 			d.t.Log(err)
 		}
 	})
+	d.t.Cleanup(stop)
 	d.daemons = append(d.daemons, daemon)
-	d.apps = append(d.apps, app)
-	d.waitUntil("daemon is ready", func() bool { return daemon.notReadyReason() == "" })
+	d.stops = append(d.stops, stop)
 	return daemon
 }
 
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -51,6 +51,8 @@
 	memoryLimitRatio    = 0.6
 	maintenanceInterval = time.Second
 	startTimeout        = 10 * time.Second
+	// millicores is the capacity of a whole core (see core/loadshare.Member).
+	millicores = 1000
 )
 
 var log = logging.For("edge")
@@ -110,7 +112,7 @@
 	return loadshare.New(loadshare.Options{
 		Self: coreloadshare.Member{
 			ID: entity.DaemonID(s.Daemon), Zone: entity.ZoneID(s.Zone), Address: s.Peer,
-			Incarnation: uint64(time.Now().UnixNano()),
+			Incarnation: uint64(time.Now().UnixNano()), Capacity: int(s.CPUShare * millicores),
 		},
 		View: g, Table: store, Tables: t,
 	})
@@ -118,6 +120,7 @@
 
 func newDaemon(lifecycle fx.Lifecycle, s *settings.Edge, g *gateway.Gateway, pool *connpool.Pool, store *platform.Store,
 	t *tables, p *placer.Placer, sharer *loadshare.Sharer, m *Metrics) *Daemon {
+	m.registerTables(t)
 	d := &Daemon{
 		settings: s, gateway: g, pool: pool, store: store, tables: t, placer: p, sharer: sharer, metrics: m,
 	}
@@ -206,6 +209,7 @@
 	log.Event("daemon was paused", "for", pause.Round(time.Millisecond))
 	d.pool.CloseExpired(time.Now().Add(time.Hour))
 	d.gateway.HandlePause(pause)
+	d.tables.wake()
 }
 
 func (d *Daemon) serveReady(w http.ResponseWriter, _ *http.Request) {
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -7,6 +7,8 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"github.com/hyssophoist/hyssophoist/internal/watch"
 )
 
 // Metrics holds the metrics of an edge daemon. Durations are in seconds.
@@ -55,6 +57,28 @@
 	return m
 }
 
+// registerTables adds metrics of this instance's copies of the store's tables.
+func (m *Metrics) registerTables(t *tables) {
+	for name, watcher := range map[string]*watch.Watcher{"configuration": t.configuration, "targets": t.targets} {
+		labels := prometheus.Labels{"table": name}
+		m.registry.MustRegister(
+			prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+				Name: "hyssophoist_edge_table_age_seconds", ConstLabels: labels,
+				Help: "Time since the store confirmed the copy of a table, directly or through another instance.",
+			}, func() float64 { return watcher.State().Age.Seconds() }),
+			prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+				Name: "hyssophoist_edge_table_reader", ConstLabels: labels,
+				Help: "1 if this instance reads a table for its zone.",
+			}, func() float64 {
+				if watcher.Reader() {
+					return 1
+				}
+				return 0
+			}),
+		)
+	}
+}
+
 func (m *Metrics) observeRequest(kind, result string, duration time.Duration) {
 	m.Requests.WithLabelValues(kind, result).Inc()
 	m.Duration.WithLabelValues(kind).Observe(duration.Seconds())
--- a/internal/edge/observers.go
+++ b/internal/edge/observers.go
@@ -1,10 +1,12 @@
 package edge
 
 import (
+	"time"
+
 	"github.com/hyssophoist/hyssophoist/core/entity"
 	"github.com/hyssophoist/hyssophoist/core/fleet"
+	"github.com/hyssophoist/hyssophoist/core/tablecache"
 	"github.com/hyssophoist/hyssophoist/internal/boottime"
-	"github.com/hyssophoist/hyssophoist/internal/watch"
 	"github.com/hyssophoist/hyssophoist/platform"
 )
 
@@ -12,10 +14,13 @@
 type configurationObserver Daemon
 
 // Replaced implements watch.Observer.
-func (o *configurationObserver) Replaced(rows []watch.Row, version uint64) { o.Changed(rows, version) }
+func (o *configurationObserver) Replaced(rows []tablecache.Row, version uint64) {
+	o.Changed(rows, version)
+}
 
 // Changed implements watch.Observer.
-func (o *configurationObserver) Changed(rows []watch.Row, version uint64) {
+func (o *configurationObserver) Changed(rows []tablecache.Row, version uint64) {
+	defer o.sharer.TablesChanged()
 	for _, row := range rows {
 		if row.Key != platform.ConfigurationKey || row.Deleted {
 			continue
@@ -42,11 +47,14 @@
 // Confirmed implements watch.Observer.
 func (o *configurationObserver) Confirmed() {}
 
+// OutageReported implements watch.Observer.
+func (o *configurationObserver) OutageReported(time.Time) {}
+
 // targetObserver keeps the fleet of the gateway in step with the list of targets.
 type targetObserver Daemon
 
 // Replaced implements watch.Observer.
-func (o *targetObserver) Replaced(rows []watch.Row, version uint64) {
+func (o *targetObserver) Replaced(rows []tablecache.Row, version uint64) {
 	listed := make(map[entity.TargetID]bool, len(rows))
 	for _, row := range rows {
 		listed[entity.TargetID(row.Key)] = true
@@ -58,14 +66,15 @@
 }
 
 // Changed implements watch.Observer.
-func (o *targetObserver) Changed(rows []watch.Row, version uint64) {
+func (o *targetObserver) Changed(rows []tablecache.Row, version uint64) {
+	defer o.sharer.TablesChanged()
 	for _, row := range rows {
 		o.apply(row)
 	}
 }
 
 // apply updates the fleet from one row. A row that cannot be decoded counts as removed.
-func (o *targetObserver) apply(row watch.Row) {
+func (o *targetObserver) apply(row tablecache.Row) {
 	id := entity.TargetID(row.Key)
 	if row.Deleted {
 		o.gateway.WithFleet(func(f *fleet.Fleet) { f.Remove(boottime.Now(), id) })
@@ -108,3 +117,8 @@
 
 // Confirmed implements watch.Observer.
 func (o *targetObserver) Confirmed() {}
+
+// OutageReported implements watch.Observer.
+func (o *targetObserver) OutageReported(at time.Time) {
+	o.gateway.WithFleet(func(f *fleet.Fleet) { f.RecordStoreFailure(at) })
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -147,13 +147,6 @@
 	g.peakInstances = max(g.peakInstances, instances.All)
 }
 
-// PeakInstances returns the largest number of instances that this one has seen.
-func (g *Gateway) PeakInstances() int {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.peakInstances
-}
-
 // HandlePause moves the deadlines of all requests earlier by a pause of the process, which timers do not count, and
 // cancels the requests whose deadline has passed.
 func (g *Gateway) HandlePause(pause time.Duration) {
--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -1,19 +1,19 @@
-// Package loadshare runs the protocol of core/loadshare between edge daemons. They exchange loads over net/rpc on the
-// internal port, and discover each other through a table in the store.
+// Package loadshare runs the protocol of core/loadshare between edge daemons. They exchange loads, and the changes of the
+// store's tables, over net/rpc on the internal port, and discover each other through a table in the store.
 package loadshare
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
-	"math/rand/v2"
 	"net"
 	"net/rpc"
 	"sync"
 	"time"
 
+	"github.com/hyssophoist/hyssophoist/core/entity"
 	"github.com/hyssophoist/hyssophoist/core/loadshare"
+	"github.com/hyssophoist/hyssophoist/core/tablecache"
 	"github.com/hyssophoist/hyssophoist/internal/logging"
 	"github.com/hyssophoist/hyssophoist/internal/peer"
 	"github.com/hyssophoist/hyssophoist/internal/platform"
@@ -27,16 +27,11 @@
 	// traffic between zones costs more.
 	zonePeriods = 2
 	callTimeout = 300 * time.Millisecond
-	// listPeriod is the mean time between two reads of the list of instances. Instances also learn of new ones from each
-	// other.
-	listPeriod     = 20 * time.Second
-	listRetryDelay = time.Second
-	listLimit      = 500
-	storeTimeout   = time.Second
+	// joinPeriod is the time between two messages of an instance that has no copy of the store's tables yet.
+	joinPeriod = 50 * time.Millisecond
 
-	instancesTable = "instances"
-	shareCall      = "LoadShare.Share"
-	zoneCall       = "LoadShare.Zone"
+	shareCall = "LoadShare.Share"
+	zoneCall  = "LoadShare.Zone"
 )
 
 var log = logging.For("loadshare")
@@ -49,12 +44,27 @@
 	SetOtherLoads(loads loadshare.Loads, instances loadshare.Instances)
 }
 
-// Tables tracks the versions of the store's tables that each instance follows. Its methods are safe for concurrent use.
+// Tables holds this instance's copies of the store's tables. Its methods are safe for concurrent use.
 type Tables interface {
 	// Versions returns the highest versions that this instance has seen.
 	Versions() loadshare.Versions
 	// Observe records the highest versions that another instance has seen.
 	Observe(versions loadshare.Versions)
+	// States describes the copies.
+	States() TableStates
+	// Since returns what an instance with the given states lacks; News does so only where the copies are newer.
+	Since(states TableStates) TableBatches
+	News(states TableStates) TableBatches
+	// Offer applies batches from another instance.
+	Offer(batches TableBatches)
+	// SetRole sets the part of this instance in reading the tables.
+	SetRole(role tablecache.Role)
+	// Reader reports whether this instance follows the tables in the store.
+	Reader() bool
+	// ReadsFailing reports whether this instance cannot read the store.
+	ReadsFailing() bool
+	// Stale reports whether a copy is so old that the store should have confirmed it again.
+	Stale() bool
 }
 
 // Options configures a Sharer.
@@ -62,47 +72,13 @@
 	Self  loadshare.Member
 	View  View
 	Table platform.TableStore
-	// Tables, if set, lets the instances detect that one of them no longer receives changes.
+	// Tables, if set, lets the instances pass on the changes of the store's tables, and detect that one of them no longer
+	// receives changes.
 	Tables Tables
 	// Listen opens the peer listener at Self.Address; net.Listen if nil.
 	Listen func(network, address string) (net.Listener, error)
 }
 
-// ShareArgs reports the loads of an instance to the collector of its zone.
-type ShareArgs struct {
-	From  loadshare.Member
-	Loads loadshare.Loads
-	// Known is the number of instances of the zone that the sender knows.
-	Known    int
-	Versions loadshare.Versions
-}
-
-// ShareReply returns the loads of all other instances.
-type ShareReply struct {
-	Self      loadshare.Member
-	Others    loadshare.Loads
-	Instances loadshare.Instances
-	// Members lists the instances of the zone. It is set only if their number differs from ShareArgs.Known.
-	Members  []loadshare.Member
-	Versions loadshare.Versions
-}
-
-// ZoneArgs reports the summed loads of a zone to the collector of another zone.
-type ZoneArgs struct {
-	From      loadshare.Member
-	Loads     loadshare.Loads
-	Instances int
-	Versions  loadshare.Versions
-}
-
-// ZoneReply returns the summed loads of the other zone.
-type ZoneReply struct {
-	Self      loadshare.Member
-	Loads     loadshare.Loads
-	Instances int
-	Versions  loadshare.Versions
-}
-
 // Sharer exchanges loads with other instances.
 type Sharer struct {
 	options Options
@@ -110,11 +86,18 @@
 
 	// announce makes Run start an exchange at once.
 	announce chan struct{}
+	// changed makes Run pass on changes of the store's tables.
+	changed chan struct{}
 
 	mu    sync.Mutex
 	table *loadshare.Table
 	// highestConfiguration is the highest configuration version that other instances have reported.
 	highestConfiguration uint64
+	// memberStates describes the copies of the members of the zone as far as this instance knows, for pushes to them.
+	memberStates map[entity.DaemonID]TableStates
+	// collectorStates describes the copies of the instance collectorID, the collector that last replied.
+	collectorID     entity.DaemonID
+	collectorStates *TableStates
 }
 
 // New returns a sharer, which does nothing until Run is called.
@@ -125,6 +108,7 @@
 	return &Sharer{
 		options: options, table: loadshare.New(options.Self),
 		client: peer.NewClient(peer.ClientOptions{CallTimeout: callTimeout}), announce: make(chan struct{}, 1),
+		changed: make(chan struct{}, 1), memberStates: make(map[entity.DaemonID]TableStates),
 	}
 }
 
@@ -157,7 +141,14 @@
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.table.SetLoads(now, args.From, args.Loads)
+	s.table.SetReport(now, args.From, loadshare.Report{Loads: args.Loads, ReadsFailing: args.ReadsFailing})
+	if tables := s.options.Tables; tables != nil && args.States != nil {
+		s.memberStates[args.From.ID] = *args.States
+		tables.Offer(args.Batches)
+		states := tables.States()
+		reply.States, reply.Batches = &states, tables.Since(*args.States)
+		reply.Reader = s.table.Reader(now, tables.ReadsFailing()).ID
+	}
 	s.observeVersions(args.Versions)
 	reply.Self, reply.Versions = s.options.Self, s.versions()
 	reply.Others, reply.Instances = s.table.Others(now, own, args.From.ID)
@@ -174,6 +165,9 @@
 	defer s.mu.Unlock()
 	s.table.RecordContact(now, args.From)
 	s.table.SetZoneLoads(now, args.From.Zone, args.Loads, args.Instances)
+	if s.options.Tables != nil && args.States != nil {
+		reply.Batches = s.options.Tables.News(*args.States)
+	}
 	s.observeVersions(args.Versions)
 	reply.Self, reply.Versions = s.options.Self, s.versions()
 	reply.Loads, reply.Instances = s.table.ZoneLoads(now, own)
@@ -226,6 +220,7 @@
 		}
 	})
 	running.Go(func() { s.syncMembers(ctx) })
+	running.Go(func() { s.pushChanges(ctx) })
 	ticker := time.NewTicker(sharePeriod)
 	defer ticker.Stop()
 	for period := 0; ctx.Err() == nil; period++ {
@@ -246,32 +241,67 @@
 func (s *Sharer) step(ctx context.Context, period int) {
 	s.mu.Lock()
 	now := time.Now()
-	collector := s.table.Collector(now)
-	known := len(s.table.Members(now))
+	members := s.table.Members(now)
+	collector := members[0]
 	s.mu.Unlock()
 	if collector.ID == s.options.Self.ID {
 		s.collect(ctx, period)
 		return
 	}
-	args := &ShareArgs{From: s.options.Self, Loads: s.options.View.OwnLoads(), Known: known, Versions: s.versions()}
+	args := s.shareArgs(collector, len(members))
 	var reply ShareReply
 	err := s.client.Call(ctx, collector.Address, shareCall, args, &reply)
+	if err == nil && reply.Self.ID != collector.ID {
+		err = errors.New("another instance answers at the address of the collector")
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err != nil {
 		s.recordFailure(collector, err)
 		return
 	}
-	if reply.Self.ID != collector.ID {
-		s.recordFailure(collector, errors.New("another instance answers at the address of the collector"))
-		return
-	}
 	s.table.RecordContact(time.Now(), reply.Self)
 	s.table.Add(reply.Members...)
+	s.takeTables(&reply)
 	s.observeVersions(reply.Versions)
 	s.options.View.SetOtherLoads(reply.Others, reply.Instances)
 }
 
+// shareArgs returns the message for the collector. known is the number of instances of the zone that this one knows.
+func (s *Sharer) shareArgs(collector loadshare.Member, known int) *ShareArgs {
+	args := &ShareArgs{From: s.options.Self, Loads: s.options.View.OwnLoads(), Known: known, Versions: s.versions()}
+	tables := s.options.Tables
+	if tables == nil {
+		return args
+	}
+	states := tables.States()
+	args.States, args.ReadsFailing = &states, tables.ReadsFailing()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.collectorID == collector.ID && s.collectorStates != nil {
+		args.Batches = tables.News(*s.collectorStates)
+	}
+	return args
+}
+
+// takeTables applies what a collector's reply says about the tables of the store. A collector of an earlier version of the
+// program says nothing, so that this instance reads the store itself. The caller holds s.mu.
+func (s *Sharer) takeTables(reply *ShareReply) {
+	tables := s.options.Tables
+	if tables == nil {
+		return
+	}
+	s.collectorID, s.collectorStates = reply.Self.ID, reply.States
+	tables.Offer(reply.Batches)
+	if states := tables.States(); !states.Configuration.Loaded || !states.Targets.Loaded {
+		time.AfterFunc(joinPeriod, s.Announce)
+	}
+	tables.SetRole(tablecache.Role{
+		Reader: reply.States == nil || reply.Reader == s.options.Self.ID, Followed: reply.States != nil,
+		Rank: s.table.Rank(time.Now()),
+	})
+}
+
 // recordFailure records that a call to an instance failed.
 func (s *Sharer) recordFailure(member loadshare.Member, err error) {
 	var remote rpc.ServerError
@@ -287,6 +317,14 @@
 // instances to the view.
 func (s *Sharer) collect(ctx context.Context, period int) {
 	own := s.options.View.OwnLoads()
+	if tables := s.options.Tables; tables != nil {
+		s.mu.Lock()
+		now := time.Now()
+		reader := s.table.Reader(now, tables.ReadsFailing())
+		followed := len(s.table.Members(now)) > 1
+		s.mu.Unlock()
+		tables.SetRole(tablecache.Role{Reader: reader.ID == s.options.Self.ID, Followed: followed})
+	}
 	if period%zonePeriods == 0 {
 		s.mu.Lock()
 		now := time.Now()
@@ -307,6 +345,11 @@
 
 func (s *Sharer) exchangeZone(ctx context.Context, collector loadshare.Member, sum loadshare.Loads, instances int) {
 	args := &ZoneArgs{From: s.options.Self, Loads: sum, Instances: instances, Versions: s.versions()}
+	tables := s.options.Tables
+	if tables != nil && tables.Stale() {
+		states := tables.States()
+		args.States = &states
+	}
 	var reply ZoneReply
 	err := s.client.Call(ctx, collector.Address, zoneCall, args, &reply)
 	s.mu.Lock()
@@ -316,72 +359,10 @@
 		return
 	}
 	now := time.Now()
+	if tables != nil {
+		tables.Offer(reply.Batches)
+	}
 	s.observeVersions(reply.Versions)
 	s.table.RecordContact(now, reply.Self)
 	s.table.SetZoneLoads(now, reply.Self.Zone, reply.Loads, reply.Instances)
 }
-
-// syncMembers adds this instance to the list of instances in the store, and reads the list at intervals until ctx is
-// done.
-func (s *Sharer) syncMembers(ctx context.Context) {
-	registered := false
-	for ctx.Err() == nil {
-		wait := time.Duration(float64(listPeriod) * (0.75 + 0.5*rand.Float64()))
-		if !registered {
-			registered = s.register(ctx)
-		}
-		if !s.readMembers(ctx) || !registered {
-			wait = listRetryDelay
-		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(wait):
-		}
-	}
-}
-
-// register writes the entry of this instance. It reports whether no further attempt is needed.
-func (s *Sharer) register(ctx context.Context) bool {
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
-	defer cancel()
-	key := string(s.options.Self.ID)
-	stored, err := s.options.Table.Get(ctx, instancesTable, key)
-	if err != nil {
-		return false
-	}
-	version := uint64(0)
-	if stored != nil {
-		version = stored.Version
-	}
-	write, err := platform.NewWrite(instancesTable, key, version, s.options.Self)
-	if err != nil {
-		log.Errorf("failed to encode the entry of this instance: %v", err)
-		return true
-	}
-	_, err = s.options.Table.Commit(ctx, write)
-	return err == nil
-}
-
-// readMembers reads the list of instances and reports whether the store answered.
-func (s *Sharer) readMembers(ctx context.Context) bool {
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
-	defer cancel()
-	rows, err := s.options.Table.List(ctx, instancesTable, "", "", listLimit)
-	if err != nil {
-		return false
-	}
-	var members []loadshare.Member
-	for _, row := range rows {
-		var member loadshare.Member
-		if err := json.Unmarshal(row.Value, &member); err != nil || member.ID == "" {
-			log.Event("entry is no instance", "key", row.Key)
-			continue
-		}
-		members = append(members, member)
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.table.Add(members...)
-	s.table.RemoveExpired(time.Now())
-	return true
-}
--- /dev/null
+++ b/internal/loadshare/loadshare_test.go
@@ -0,0 +1,302 @@
+package loadshare
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/rpc"
+	"os"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/hyssophoist/hyssophoist/api/platformapi"
+	"github.com/hyssophoist/hyssophoist/core/entity"
+	"github.com/hyssophoist/hyssophoist/core/errkind"
+	"github.com/hyssophoist/hyssophoist/core/loadshare"
+	"github.com/hyssophoist/hyssophoist/core/tablecache"
+	"github.com/hyssophoist/hyssophoist/internal/platform"
+)
+
+const waitLimit = 10 * time.Second
+
+// fakeTables implements Tables with a counter in place of each table: the batch of a version stands for all changes up to it.
+type fakeTables struct {
+	mu      sync.Mutex
+	version uint64
+	role    tablecache.Role
+	roleSet bool
+	failing bool
+	// offeredAt is when each version was offered.
+	offeredAt map[uint64]time.Time
+}
+
+func newFakeTables(version uint64) *fakeTables {
+	return &fakeTables{version: version, offeredAt: make(map[uint64]time.Time)}
+}
+
+func (f *fakeTables) Versions() (versions loadshare.Versions) { return versions }
+func (f *fakeTables) Observe(loadshare.Versions)              {}
+func (f *fakeTables) Stale() bool                             { return false }
+
+func (f *fakeTables) States() TableStates {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	state := tablecache.State{Loaded: f.version > 0, Version: f.version}
+	return TableStates{Configuration: state, Targets: state}
+}
+
+func (f *fakeTables) Since(states TableStates) TableBatches {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	batch := &tablecache.Batch{After: states.Configuration.Version, Version: f.version}
+	if f.version > states.Configuration.Version {
+		batch.Rows = []tablecache.Row{{Key: "key", Version: f.version}}
+	}
+	return TableBatches{Configuration: batch}
+}
+
+func (f *fakeTables) News(states TableStates) TableBatches {
+	if f.States().Configuration.Version <= states.Configuration.Version {
+		return TableBatches{}
+	}
+	return f.Since(states)
+}
+
+func (f *fakeTables) Offer(batches TableBatches) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if batches.Configuration != nil && batches.Configuration.Version > f.version {
+		f.version = batches.Configuration.Version
+		f.offeredAt[f.version] = time.Now()
+	}
+}
+
+func (f *fakeTables) SetRole(role tablecache.Role) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.role, f.roleSet = role, true
+}
+
+func (f *fakeTables) Reader() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.role.Reader
+}
+
+func (f *fakeTables) ReadsFailing() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.failing
+}
+
+// read sets the version, as a read of the store does.
+func (f *fakeTables) read(version uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.version = version
+}
+
+func (f *fakeTables) offered(version uint64) (time.Time, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	at, found := f.offeredAt[version]
+	return at, found
+}
+
+// fakeView implements View without loads.
+type fakeView struct{}
+
+func (fakeView) OwnLoads() loadshare.Loads                          { return nil }
+func (fakeView) SetOtherLoads(loadshare.Loads, loadshare.Instances) {}
+
+// memberStore is a store with the list of instances.
+type memberStore struct {
+	mu   sync.Mutex
+	rows []platformapi.Row
+}
+
+func (s *memberStore) Get(context.Context, string, string) (*platformapi.Row, error) { return nil, nil }
+
+func (s *memberStore) List(context.Context, string, string, string, int) ([]platformapi.Row, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.rows), nil
+}
+
+func (s *memberStore) Commit(_ context.Context, writes ...platformapi.Write) ([]uint64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	write := writes[0]
+	for i, row := range s.rows {
+		if row.Key != write.Key {
+			continue
+		}
+		if row.Version != write.Expect {
+			return nil, &platform.ConflictError{Row: row}
+		}
+		s.rows[i].Version++
+		s.rows[i].Value = write.Value
+		return []uint64{s.rows[i].Version}, nil
+	}
+	if write.Expect != 0 {
+		return nil, errkind.New(errkind.PlatformUnavailable, "no such row")
+	}
+	s.rows = append(s.rows, platformapi.Row{Key: write.Key, Version: 1, Value: write.Value})
+	return []uint64{1}, nil
+}
+
+var addressesUsed atomic.Int32
+
+// newMember returns a member with a loopback address that no other test uses.
+func newMember(id entity.DaemonID) loadshare.Member {
+	process := os.Getpid()
+	address := fmt.Sprintf("127.%d.%d.%d:8002", 1+(process>>8)%250, process%256, 1+addressesUsed.Add(1)%250)
+	return loadshare.Member{ID: id, Zone: "z", Address: address, Incarnation: 1}
+}
+
+// startSharer runs a sharer until the test ends.
+func startSharer(t *testing.T, member loadshare.Member, store *memberStore, tables *fakeTables) *Sharer {
+	t.Helper()
+	s := New(Options{Self: member, View: fakeView{}, Table: store, Tables: tables})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		if err := s.Run(ctx); err != nil {
+			t.Errorf("%s: %v", member.ID, err)
+		}
+	}()
+	t.Cleanup(func() { cancel(); <-done })
+	return s
+}
+
+func waitUntil(t *testing.T, what string, done func() bool) {
+	t.Helper()
+	for end := time.Now().Add(waitLimit); !done(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("timed out after %v waiting until %s", waitLimit, what)
+		}
+	}
+}
+
+// TestChangesArePushed guards against members that wait for their next message to learn of a change, and against changes read
+// by a member that do not reach the others.
+func TestChangesArePushed(t *testing.T) {
+	store := &memberStore{}
+	tables := []*fakeTables{newFakeTables(1), newFakeTables(1), newFakeTables(1)}
+	var sharers []*Sharer
+	for i, f := range tables {
+		sharers = append(sharers, startSharer(t, newMember(entity.DaemonID(fmt.Sprintf("m%d", i))), store, f))
+	}
+	waitUntil(t, "the first instance reads for the zone", func() bool {
+		return tables[0].Reader() && !tables[1].Reader() && !tables[2].Reader() && tables[2].roleSet
+	})
+	arrived := 0
+	for version := uint64(2); version < 8; version++ {
+		tables[0].read(version)
+		sharers[0].pushToZone(context.Background())
+		for _, f := range tables[1:] {
+			if _, found := f.offered(version); found {
+				arrived++
+			}
+		}
+	}
+	// A member may have got a change with its own message; without pushes, few would have one at this time.
+	if arrived < 10 {
+		t.Errorf("%d of 12 changes arrived with the push", arrived)
+	}
+	tables[2].read(20)
+	sharers[2].TablesChanged()
+	waitUntil(t, "a change read by a member reaches another one", func() bool { _, found := tables[1].offered(20); return found })
+}
+
+// TestReaderIsReplaced guards against a zone without a reader when the collector cannot read the store.
+func TestReaderIsReplaced(t *testing.T) {
+	store := &memberStore{}
+	tables := []*fakeTables{newFakeTables(1), newFakeTables(1)}
+	for i, f := range tables {
+		startSharer(t, newMember(entity.DaemonID(fmt.Sprintf("m%d", i))), store, f)
+	}
+	waitUntil(t, "the collector reads", func() bool { return tables[0].Reader() && !tables[1].Reader() })
+	tables[0].mu.Lock()
+	tables[0].failing = true
+	tables[0].mu.Unlock()
+	waitUntil(t, "the other instance reads", func() bool { return !tables[0].Reader() && tables[1].Reader() })
+}
+
+// legacyShare answers as the collector of an earlier version, which does not pass on tables.
+type legacyShare struct{ self loadshare.Member }
+
+// LegacyReply is the reply of an earlier version.
+type LegacyReply struct {
+	Self      loadshare.Member
+	Instances loadshare.Instances
+}
+
+// Share implements the call of an earlier version.
+func (l legacyShare) Share(_ *ShareArgs, reply *LegacyReply) error {
+	reply.Self = l.self
+	return nil
+}
+
+// TestCollectorOfEarlierVersion guards against an instance that reads no changes because the collector of its zone runs a
+// version of the program that passes none on.
+func TestCollectorOfEarlierVersion(t *testing.T) {
+	collector := newMember("a")
+	server := rpc.NewServer()
+	if err := server.RegisterName("LoadShare", legacyShare{collector}); err != nil {
+		t.Fatal(err)
+	}
+	listener, err := net.Listen("tcp", collector.Address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			// A connection begins with an empty token, whose length is two bytes.
+			if _, err := conn.Read(make([]byte, 2)); err == nil {
+				go server.ServeConn(conn)
+			}
+		}
+	}()
+	store, tables := &memberStore{}, newFakeTables(1)
+	write, err := platform.NewWrite(instancesTable, "a", 0, collector)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := store.Commit(context.Background(), write); err != nil {
+		t.Fatal(err)
+	}
+	startSharer(t, newMember("b"), store, tables)
+	waitUntil(t, "the instance reads the store itself", func() bool { return tables.Reader() })
+}
+
+// TestOtherInstanceAtAddress guards against loads and changes taken from an instance that answers at the address of another.
+func TestOtherInstanceAtAddress(t *testing.T) {
+	store := &memberStore{}
+	taken := newMember("a")
+	occupant := taken
+	occupant.ID = "x"
+	startSharer(t, occupant, &memberStore{}, newFakeTables(9))
+	write, err := platform.NewWrite(instancesTable, "a", 0, taken)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := store.Commit(context.Background(), write); err != nil {
+		t.Fatal(err)
+	}
+	tables := newFakeTables(1)
+	startSharer(t, newMember("b"), store, tables)
+	waitUntil(t, "the instance reads the store itself", func() bool { return tables.Reader() })
+	if got := tables.States().Configuration.Version; got != 1 {
+		t.Errorf("version %d, want 1", got)
+	}
+}
--- a/internal/settings/edge.go
+++ b/internal/settings/edge.go
@@ -20,6 +20,9 @@
 	Store   Store  `json:"store"`
 	// MemoryMB is the memory limit of the process in megabytes, above which the platform kills it.
 	MemoryMB int `json:"memory_mb"`
+	// CPUShare is the share of a processor core that the process gets; 0 if unknown. Instances with a greater share do the
+	// work that one instance of a zone does for the others.
+	CPUShare float64 `json:"cpu_share,omitempty"`
 	// StopGrace is the time between the request to stop and the time at which the process is killed.
 	StopGrace Duration `json:"stop_grace"`
 	// DrainBound is the time after which no request may go to a target that has started to leave, ConfigurationBound
@@ -91,6 +94,9 @@
 	if e.MemoryMB < minMemoryMB {
 		doc.reportf("memory_mb", "must be at least %d", minMemoryMB)
 	}
+	if e.CPUShare < 0 {
+		doc.report("cpu_share", "must not be negative")
+	}
 	if e.DrainBound <= 0 || e.ConfigurationBound <= 0 {
 		doc.report("drain_bound", "this and configuration_bound must be positive durations")
 	}
--- a/internal/watch/watch_test.go
+++ b/internal/watch/watch_test.go
@@ -3,25 +3,28 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"testing"
 	"time"
+
+	"github.com/hyssophoist/hyssophoist/core/tablecache"
 )
 
 // scriptedFeed answers each call with the next step; without further steps a call blocks until its context ends.
 type scriptedFeed struct {
 	mu    sync.Mutex
-	steps []func() (Batch, error)
+	steps []func() (tablecache.Batch, error)
 	calls []string
 }
 
-func (s *scriptedFeed) next(ctx context.Context, call string) (Batch, error) {
+func (s *scriptedFeed) next(ctx context.Context, call string) (tablecache.Batch, error) {
 	s.mu.Lock()
 	s.calls = append(s.calls, call)
 	if len(s.steps) == 0 {
 		s.mu.Unlock()
 		<-ctx.Done()
-		return Batch{}, ctx.Err()
+		return tablecache.Batch{}, ctx.Err()
 	}
 	step := s.steps[0]
 	s.steps = s.steps[1:]
@@ -29,12 +32,16 @@
 	return step()
 }
 
-func (s *scriptedFeed) Snapshot(ctx context.Context, _ string) (Batch, error) {
-	return s.next(ctx, "snapshot")
+func (s *scriptedFeed) Snapshot(ctx context.Context, _ string) (tablecache.Batch, error) {
+	batch, err := s.next(ctx, "snapshot")
+	batch.Full = true
+	return batch, err
 }
 
-func (s *scriptedFeed) Changes(ctx context.Context, _ string, after uint64, _ time.Duration) (Batch, error) {
-	return s.next(ctx, "changes")
+func (s *scriptedFeed) Changes(ctx context.Context, _ string, after uint64, _ time.Duration) (tablecache.Batch, error) {
+	batch, err := s.next(ctx, "changes")
+	batch.After = after
+	return batch, err
 }
 
 // recorder records the calls of an observer.
@@ -49,23 +56,47 @@
 	r.seen = append(r.seen, text)
 }
 
-func (r *recorder) Replaced([]Row, uint64) { r.record("replaced") }
-func (r *recorder) Changed([]Row, uint64)  { r.record("changed") }
-func (r *recorder) StoreLost(error)        { r.record("lost") }
-func (r *recorder) Confirmed()             { r.record("confirmed") }
+func (r *recorder) Replaced([]tablecache.Row, uint64) { r.record("replaced") }
+func (r *recorder) Changed([]tablecache.Row, uint64)  { r.record("changed") }
+func (r *recorder) StoreLost(error)                   { r.record("lost") }
+func (r *recorder) Confirmed()                        { r.record("confirmed") }
+func (r *recorder) OutageReported(time.Time)          { r.record("outage") }
+
+// reply returns a step with new rows of the given version.
+func reply(rows int, version uint64) func() (tablecache.Batch, error) {
+	return func() (tablecache.Batch, error) {
+		batch := tablecache.Batch{Version: version}
+		for i := range rows {
+			batch.Rows = append(batch.Rows, tablecache.Row{Key: fmt.Sprint(i), Version: version})
+		}
+		return batch, nil
+	}
+}
+
+func fail(err error) func() (tablecache.Batch, error) {
+	return func() (tablecache.Batch, error) { return tablecache.Batch{}, err }
+}
+
+// testBound is the time within which a change must be known in these tests.
+const testBound = 400 * time.Millisecond
 
-func reply(rows int, version uint64) func() (Batch, error) {
-	return func() (Batch, error) { return Batch{Rows: make([]Row, rows), Version: version}, nil }
+func newWatcher(feed Feed) *Watcher {
+	return New(Options{
+		Feed: feed, Table: "t", Policy: tablecache.ReadPolicy{Bound: testBound}, CoalesceInterval: time.Millisecond,
+	})
 }
 
-func fail(err error) func() (Batch, error) {
-	return func() (Batch, error) { return Batch{}, err }
+// newReader returns a watcher that follows the table in the store.
+func newReader(feed Feed) *Watcher {
+	w := newWatcher(feed)
+	w.SetRole(tablecache.Role{Reader: true})
+	return w
 }
 
 // TestRun guards against a failed call that is not retried from the same version, and against a table that is not read
 // whole after its history is lost.
 func TestRun(t *testing.T) {
-	feed := &scriptedFeed{steps: []func() (Batch, error){
+	feed := &scriptedFeed{steps: []func() (tablecache.Batch, error){
 		fail(errors.New("down")), reply(2, 5), reply(0, 6), reply(1, 7), fail(errors.New("down")), fail(ErrHistoryLost),
 		reply(3, 9),
 	}}
@@ -73,7 +104,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
-		New(feed, "t", func() time.Duration { return time.Millisecond }).Run(ctx, observer)
+		newReader(feed).Run(ctx, observer)
 		close(done)
 	}()
 	for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
@@ -114,9 +145,9 @@
 // call is canceled once another instance has had a newer row for maxLag, and not before. In the soak test (seed 1) an
 // instance accepted a revoked key for minutes after its connection had gone silent.
 func TestSilentConnection(t *testing.T) {
-	feed := &scriptedFeed{steps: []func() (Batch, error){reply(1, 5)}}
+	feed := &scriptedFeed{steps: []func() (tablecache.Batch, error){reply(1, 5)}}
 	observer := &recorder{}
-	w := New(feed, "t", func() time.Duration { return time.Millisecond })
+	w := newReader(feed)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() { w.Run(ctx, observer); close(done) }()
