Query suspected engines for the zone at its collector

Cause: only collectors place layers, but an engine counts as lost only for an instance whose own queries it leaves unanswered, and a collector carries a thirtieth of the streams of its zone. And an instance queries an engine that is down only every 600 ms for each 16 instances, 7.8 s with 195, so that engines stayed unused for seconds after they had recovered.

Change: the collector of a zone queries all engines that it or another instance suspects every 600 ms. Loads carry whether an engine has answered lately; an instance for which such an engine is down queries it at once.

Tests: TestDueProbes, TestResponsiveIsShared.

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -73,8 +73,9 @@
 	Slowdown      float64
 	SlowdownAt    time.Time
 	OtherSlowdown float64
-	// OtherSuspected reports whether another instance suspects the engine of having failed.
-	OtherSuspected bool
+	// OtherSuspected reports whether another instance suspects the engine of having failed, OtherResponsive whether the
+	// engine has recently answered another instance.
+	OtherSuspected, OtherResponsive bool
 	// Latency is the moving average of the duration of plain calls.
 	Latency time.Duration
 
@@ -195,6 +196,7 @@
 		load := loads[id]
 		state.OtherSequences, state.OtherCache = int(load.Sequences), float64(load.Cache)
 		state.OtherSlowdown, state.OtherSuspected = float64(load.Slowdown), load.Suspected
+		state.OtherResponsive = load.Responsive
 		state.CallsSinceShared = 0
 	}
 }
@@ -203,7 +205,10 @@
 func (f *Fleet) OwnLoads(now time.Time) loadshare.Loads {
 	loads := loadshare.Loads{}
 	for id, state := range f.targets.All {
-		load := loadshare.Load{Suspected: now.Before(state.suspectUntil) || state.Down(now)}
+		load := loadshare.Load{
+			Suspected:  now.Before(state.suspectUntil) || state.Down(now),
+			Responsive: now.Sub(state.reachability.answeredAt) < responsiveTTL,
+		}
 		if state.CacheInUse > 0 {
 			load.Sequences, load.Cache = int32(state.InProgress), float32(state.CacheInUse)
 		}
@@ -238,7 +243,7 @@
 	if state == nil || (report.Born != 0 && report.Born != state.Born) {
 		return false
 	}
-	state.reachability = reachability{}
+	state.reachability = reachability{answeredAt: now}
 	wasSlow := state.Slowdown >= slowThreshold
 	state.Slowdown, state.SlowdownAt = report.Slowdown, now
 	return wasSlow != (report.Slowdown >= slowThreshold)
--- a/core/fleet/reach.go
+++ b/core/fleet/reach.go
@@ -13,13 +13,17 @@
 	// maxLostShare is the largest share of a zone's engines that can count as lost. If more are unresponsive, the zone
 	// is assumed to be partitioned from this instance, and its engines still hold their layers.
 	maxLostShare = 0.5
+	// responsiveTTL is how long after its last report an engine is reported to other instances as responsive.
+	responsiveTTL = time.Second
 )
 
 // reachability records whether an engine answers this instance. The zero value means that it does.
 type reachability struct {
-	// unansweredSince is when the first of the consecutive unanswered queries was recorded; the engine counts as down
-	// until downUntil.
-	unansweredSince, downUntil time.Time
+	// unansweredSince is when the first of the consecutive unanswered queries was recorded, and unansweredAt when the
+	// last one was; the engine counts as down until downUntil.
+	unansweredSince, unansweredAt, downUntil time.Time
+	// answeredAt is when the engine last answered a query; zero after an unanswered one.
+	answeredAt time.Time
 }
 
 // RecordNoAnswer records that an engine did not answer a query of this instance at time now. The engine then counts as
@@ -33,7 +37,8 @@
 	if changed {
 		state.reachability.unansweredSince = now
 	}
-	state.reachability.downUntil = now.Add(ttl)
+	state.reachability.unansweredAt, state.reachability.downUntil = now, now.Add(ttl)
+	state.reachability.answeredAt = time.Time{}
 	return changed
 }
 
@@ -41,14 +46,29 @@
 // and use up a retry.
 func (s *State) Down(now time.Time) bool { return now.Before(s.reachability.downUntil) }
 
-// DownTargets returns the engines that are down.
-func (f *Fleet) DownTargets(now time.Time) (down []Target) {
+// ProbePolicy decides which engines an instance queries without having a request for them.
+type ProbePolicy struct {
+	// Interval is the time between two queries of an engine that is down.
+	Interval time.Duration
+	// ForZone reports whether this instance queries engines for the other instances of its zone.
+	ForZone bool
+}
+
+// DueProbes returns the engines to query now. An engine that is down is queried after the interval, and at once if another
+// instance got an answer from it: one instance that queries often is enough. An instance that queries for its zone also
+// queries the engines that others suspect, since it decides whether their layers are placed elsewhere.
+func (f *Fleet) DueProbes(now time.Time, policy ProbePolicy) (due []Target) {
 	for _, state := range f.targets.All {
-		if state.Down(now) {
-			down = append(down, state.Target)
+		if state.Card == "" {
+			continue
+		}
+		down := state.Down(now)
+		overdue := now.Sub(state.reachability.unansweredAt) >= policy.Interval
+		if down && (overdue || state.OtherResponsive) || policy.ForZone && (down || state.OtherSuspected) {
+			due = append(due, state.Target)
 		}
 	}
-	return down
+	return due
 }
 
 // LostTargets returns the engines whose layers must be placed elsewhere: those that are not in service, and those that
--- a/core/fleet/reach_test.go
+++ b/core/fleet/reach_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/hyssophoist/hyssophoist/core/entity"
+	"github.com/hyssophoist/hyssophoist/core/loadshare"
 )
 
 // newEngineFleet returns a fleet with n engines in each of two zones.
@@ -120,3 +121,57 @@
 		}
 	}
 }
+
+// TestDueProbes guards against engines that every instance queries, which with 195 instances are probed only every 8 s, and
+// against an engine that stays unused although it answers another instance.
+func TestDueProbes(t *testing.T) {
+	const interval, ttl = 8 * time.Second, 9 * time.Second
+	now := time.Unix(1000, 0)
+	for _, test := range []struct {
+		name   string
+		load   loadshare.Load
+		down   bool
+		after  time.Duration
+		policy ProbePolicy
+		due    bool
+	}{
+		{"engine that answers", loadshare.Load{}, false, time.Second, ProbePolicy{Interval: interval}, false},
+		{"down, just probed", loadshare.Load{}, true, time.Second, ProbePolicy{Interval: interval}, false},
+		{"down, probed long ago", loadshare.Load{}, true, interval, ProbePolicy{Interval: interval}, true},
+		{"down, answers another instance", loadshare.Load{Responsive: true}, true, time.Second, ProbePolicy{Interval: interval}, true},
+		{"suspected by another instance", loadshare.Load{Suspected: true}, false, time.Second, ProbePolicy{Interval: interval}, false},
+		{"down, for the zone", loadshare.Load{}, true, time.Second, ProbePolicy{Interval: interval, ForZone: true}, true},
+		{"suspected by another instance, for the zone", loadshare.Load{Suspected: true}, false, time.Second,
+			ProbePolicy{Interval: interval, ForZone: true}, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			f := newEngineFleet(2)
+			f.Put(Target{ID: "plain", Zone: "a", Born: 1})
+			f.SetOtherLoads(now, loadshare.Loads{"a0": test.load, "plain": {Suspected: true}}, 2)
+			if test.down {
+				f.RecordNoAnswer(now, "a0", ttl)
+			}
+			due := f.DueProbes(now.Add(test.after), test.policy)
+			if got := len(due) == 1 && due[0].ID == "a0"; got != test.due || len(due) > 1 {
+				t.Errorf("due %v, want a0: %v", due, test.due)
+			}
+		})
+	}
+}
+
+// TestResponsiveIsShared guards against other instances that are told that an engine answers after it has stopped to.
+func TestResponsiveIsShared(t *testing.T) {
+	now := time.Unix(1000, 0)
+	f := newEngineFleet(1)
+	f.RecordReport(now, "a0", Report{Born: 1})
+	if !f.OwnLoads(now)["a0"].Responsive {
+		t.Error("an engine that has just answered is not responsive")
+	}
+	if f.OwnLoads(now.Add(responsiveTTL))["a0"].Responsive {
+		t.Error("an engine is still responsive after the TTL")
+	}
+	f.RecordNoAnswer(now, "a0", time.Second)
+	if f.OwnLoads(now)["a0"].Responsive {
+		t.Error("an engine that does not answer is responsive")
+	}
+}
--- a/core/loadshare/loadshare.go
+++ b/core/loadshare/loadshare.go
@@ -37,6 +37,8 @@
 	Slowdown float32
 	// Suspected is true if an instance suspects that the engine has failed.
 	Suspected bool
+	// Responsive is true if the engine has recently answered a query of an instance.
+	Responsive bool
 }
 
 // Loads maps engines to loads. Engines without load are omitted.
@@ -50,6 +52,7 @@
 		sum.Cache += load.Cache
 		sum.Slowdown = max(sum.Slowdown, load.Slowdown)
 		sum.Suspected = sum.Suspected || load.Suspected
+		sum.Responsive = sum.Responsive || load.Responsive
 		l[id] = sum
 	}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -82,6 +82,8 @@
 	// seen so far.
 	retryWindows  map[entity.ServiceID]*retry.Window
 	peakInstances int
+	// collector reports whether this instance collects the loads of its zone.
+	collector bool
 	// retryEpoch is the origin of the time that is passed to retryWindows: the start of the process, or one span
 	// earlier if there was no process before it, which makes the full slack of the retry limit available at once.
 	retryEpoch time.Time
@@ -139,9 +141,10 @@
 }
 
 // SetOtherLoads implements loadshare.View.
-func (g *Gateway) SetOtherLoads(loads loadshare.Loads, instances loadshare.Instances) {
+func (g *Gateway) SetOtherLoads(loads loadshare.Loads, instances loadshare.Instances, collector bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.collector = collector
 	g.dispatcher.Fleet.SetOtherLoads(boottime.Now(), loads, instances.Zone)
 	// Instances that this one can no longer reach still use their share of the retry limit, so the number never falls.
 	g.peakInstances = max(g.peakInstances, instances.All)
--- a/internal/gateway/inspect.go
+++ b/internal/gateway/inspect.go
@@ -18,8 +18,8 @@
 	// reportTTL is how long a report is cached for all streams. The reports that engines return are themselves a few
 	// hundred milliseconds old, and each call for one is charged.
 	reportTTL = 500 * time.Millisecond
-	// minDownProbeInterval is the interval between two probes of an engine that is down if there are few instances. The
-	// interval grows by the same amount for every instancesPerIntervalStep instances.
+	// minDownProbeInterval is the interval between two probes of an engine that is down by the instance that probes for its
+	// zone. For the others the interval grows by the same amount for every instancesPerIntervalStep instances.
 	minDownProbeInterval     = 600 * time.Millisecond
 	instancesPerIntervalStep = 16
 )
@@ -111,18 +111,19 @@
 
 // ProbeDownEngines probes engines that are down, until ctx ends, so that they are used again once they respond.
 func (g *Gateway) ProbeDownEngines(ctx context.Context) {
+	ticker := time.NewTicker(minDownProbeInterval)
+	defer ticker.Stop()
 	for {
-		g.mu.Lock()
-		down, interval := g.dispatcher.Fleet.DownTargets(boottime.Now()), g.downProbeInterval()
-		g.mu.Unlock()
-		g.inspectAll(ctx, down)
-		timer := time.NewTimer(interval)
 		select {
-		case <-timer.C:
+		case <-ticker.C:
 		case <-ctx.Done():
-			timer.Stop()
 			return
 		}
+		g.mu.Lock()
+		policy := fleet.ProbePolicy{Interval: g.downProbeInterval(), ForZone: g.collector}
+		due := g.dispatcher.Fleet.DueProbes(boottime.Now(), policy)
+		g.mu.Unlock()
+		g.inspectAll(ctx, due)
 	}
 }
 
--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -40,8 +40,9 @@
 type View interface {
 	// OwnLoads returns this instance's load on engines.
 	OwnLoads() loadshare.Loads
-	// SetOtherLoads sets the loads of all other instances and the numbers of instances, including this one.
-	SetOtherLoads(loads loadshare.Loads, instances loadshare.Instances)
+	// SetOtherLoads sets the loads of all other instances and the numbers of instances, including this one. collector
+	// reports whether this instance is the collector of its zone.
+	SetOtherLoads(loads loadshare.Loads, instances loadshare.Instances, collector bool)
 }
 
 // Tables holds this instance's copies of the store's tables. Its methods are safe for concurrent use.
@@ -264,7 +265,7 @@
 	s.table.Add(reply.Members...)
 	s.takeTables(&reply)
 	s.observeVersions(reply.Versions)
-	s.options.View.SetOtherLoads(reply.Others, reply.Instances)
+	s.options.View.SetOtherLoads(reply.Others, reply.Instances, false)
 }
 
 // shareArgs returns the message for the collector. known is the number of instances of the zone that this one knows.
@@ -340,7 +341,7 @@
 	s.mu.Lock()
 	others, instances := s.table.Others(time.Now(), nil, s.options.Self.ID)
 	s.mu.Unlock()
-	s.options.View.SetOtherLoads(others, instances)
+	s.options.View.SetOtherLoads(others, instances, true)
 }
 
 func (s *Sharer) exchangeZone(ctx context.Context, collector loadshare.Member, sum loadshare.Loads, instances int) {
--- a/internal/loadshare/loadshare_test.go
+++ b/internal/loadshare/loadshare_test.go
@@ -109,8 +109,8 @@
 // fakeView implements View without loads.
 type fakeView struct{}
 
-func (fakeView) OwnLoads() loadshare.Loads                          { return nil }
-func (fakeView) SetOtherLoads(loadshare.Loads, loadshare.Instances) {}
+func (fakeView) OwnLoads() loadshare.Loads                                { return nil }
+func (fakeView) SetOtherLoads(loadshare.Loads, loadshare.Instances, bool) {}
 
 // memberStore is a store with the list of instances.
 type memberStore struct {
