Make two tests of shared tables independent of timing

Traced: the emulated store answers calls that were waiting when it went down, so a reader whose call was pending read the removals without a failed read, and no outage was passed on. And the instance that answered at another one's address got to know the instance under test by its call and then sent it changes itself, as it may.

Change: the first test removes the entries once a read of the reader has failed; the second has a scripted server in place of a whole instance, so that only its reply can bring changes. Both check what they checked. The server of the earlier version uses it too.

--- a/internal/edge/sharing_test.go
+++ b/internal/edge/sharing_test.go
@@ -145,7 +145,8 @@
 	d := newDeployment(t)
 	d.addZone(3)
 	d.store.SetFaults(edgeplatform.StoreFaults{Down: true})
-	time.Sleep(changeBound / 4)
+	// The store still answers calls that were waiting when it went down.
+	d.waitUntil("the reader notices the outage", d.daemons[0].tables.targets.ReadsFailing)
 	for _, target := range d.plain {
 		d.store.Remove("servers", target.ID)
 	}
--- a/internal/loadshare/loadshare_test.go
+++ b/internal/loadshare/loadshare_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"net"
-	"net/rpc"
 	"os"
 	"slices"
 	"sync"
@@ -17,6 +16,7 @@
 	"github.com/hyssophoist/hyssophoist/core/errkind"
 	"github.com/hyssophoist/hyssophoist/core/loadshare"
 	"github.com/hyssophoist/hyssophoist/core/tablecache"
+	"github.com/hyssophoist/hyssophoist/internal/peer"
 	"github.com/hyssophoist/hyssophoist/internal/platform"
 )
 
@@ -227,75 +227,78 @@
 	waitUntil(t, "the other instance reads", func() bool { return !tables[0].Reader() && tables[1].Reader() })
 }
 
-// legacyShare answers as the collector of an earlier version, which does not pass on tables.
-type legacyShare struct{ self loadshare.Member }
+// scriptedCollector answers the calls of members with a reply of type R.
+type scriptedCollector[R any] struct{ reply R }
 
-// LegacyReply is the reply of an earlier version.
-type LegacyReply struct {
-	Self      loadshare.Member
-	Instances loadshare.Instances
-}
-
-// Share implements the call of an earlier version.
-func (l legacyShare) Share(_ *ShareArgs, reply *LegacyReply) error {
-	reply.Self = l.self
+// Share implements the call of the protocol.
+func (c *scriptedCollector[R]) Share(_ *ShareArgs, reply *R) error {
+	*reply = c.reply
 	return nil
 }
 
-// TestCollectorOfEarlierVersion guards against an instance that reads no changes because the collector of its zone runs a
-// version of the program that passes none on.
-func TestCollectorOfEarlierVersion(t *testing.T) {
-	collector := newMember("a")
-	server := rpc.NewServer()
-	if err := server.RegisterName("LoadShare", legacyShare{collector}); err != nil {
+// serveShare answers calls of Share at address with a reply until the test ends.
+func serveShare[R any](t *testing.T, address string, reply R) {
+	t.Helper()
+	server, err := peer.NewRPCServer("LoadShare", &scriptedCollector[R]{reply}, peer.ServerOptions{})
+	if err != nil {
 		t.Fatal(err)
 	}
-	listener, err := net.Listen("tcp", collector.Address)
+	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { listener.Close() })
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
 	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			// A connection begins with an empty token, whose length is two bytes.
-			if _, err := conn.Read(make([]byte, 2)); err == nil {
-				go server.ServeConn(conn)
-			}
+		defer close(done)
+		if err := server.Serve(ctx, listener); err != nil {
+			t.Error(err)
 		}
 	}()
-	store, tables := &memberStore{}, newFakeTables(1)
-	write, err := platform.NewWrite(instancesTable, "a", 0, collector)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if _, err := store.Commit(context.Background(), write); err != nil {
-		t.Fatal(err)
-	}
-	startSharer(t, newMember("b"), store, tables)
-	waitUntil(t, "the instance reads the store itself", func() bool { return tables.Reader() })
+	t.Cleanup(func() { cancel(); <-done })
 }
 
-// TestOtherInstanceAtAddress guards against loads and changes taken from an instance that answers at the address of another.
-func TestOtherInstanceAtAddress(t *testing.T) {
+// listing returns a store in which the member is listed.
+func listing(t *testing.T, member loadshare.Member) *memberStore {
+	t.Helper()
 	store := &memberStore{}
-	taken := newMember("a")
-	occupant := taken
-	occupant.ID = "x"
-	startSharer(t, occupant, &memberStore{}, newFakeTables(9))
-	write, err := platform.NewWrite(instancesTable, "a", 0, taken)
+	write, err := platform.NewWrite(instancesTable, string(member.ID), 0, member)
 	if err != nil {
 		t.Fatal(err)
 	}
 	if _, err := store.Commit(context.Background(), write); err != nil {
 		t.Fatal(err)
 	}
+	return store
+}
+
+// EarlierReply is the reply of a collector that runs a version of the program that does not pass on tables.
+type EarlierReply struct {
+	Self      loadshare.Member
+	Instances loadshare.Instances
+}
+
+// TestCollectorOfEarlierVersion guards against an instance that reads no changes because the collector of its zone runs a
+// version of the program that passes none on.
+func TestCollectorOfEarlierVersion(t *testing.T) {
+	collector := newMember("a")
+	serveShare(t, collector.Address, EarlierReply{Self: collector})
+	tables := newFakeTables(1)
+	startSharer(t, newMember("b"), listing(t, collector), tables)
+	waitUntil(t, "the instance reads the store itself", tables.Reader)
+}
+
+// TestOtherInstanceAtAddress guards against changes taken from an instance that answers at the address of another one.
+func TestOtherInstanceAtAddress(t *testing.T) {
+	collector := newMember("a")
+	states := TableStates{Configuration: tablecache.State{Loaded: true, Version: 9}}
+	serveShare(t, collector.Address, ShareReply{
+		Self: loadshare.Member{ID: "x", Zone: "z"}, States: &states, Reader: "x",
+		Batches: TableBatches{Configuration: &tablecache.Batch{After: 1, Version: 9}},
+	})
 	tables := newFakeTables(1)
-	startSharer(t, newMember("b"), store, tables)
-	waitUntil(t, "the instance reads the store itself", func() bool { return tables.Reader() })
+	startSharer(t, newMember("b"), listing(t, collector), tables)
+	waitUntil(t, "the instance reads the store itself", tables.Reader)
 	if got := tables.States().Configuration.Version; got != 1 {
 		t.Errorf("version %d, want 1", got)
 	}
