Do not count comments as progress of a stream

Cause: operators of similar systems met streams that had stalled and sent a byte now and then, and never ended. Here an event without an id or data, which only keeps a connection open, counted as an arrival, so the watchdog never acted.

Change: such events are forwarded but do not count.

Test: TestFailedStreamContinuesOnAnotherPath/comment; before the change the stream ended incomplete at the caller's deadline.

--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -118,6 +118,7 @@
 		"broken":  {BreakAfter: 5},
 		"torn":    {BreakAfter: 5, BreakMidEvent: true},
 		"stalled": {StallAfter: 5},
+		"comment": {StallAfter: 5, CommentWhileStalled: true},
 		"silent":  {Hang: true},
 		"refused": {Refuse: true},
 	} {
--- a/internal/emulator/edgeplatform/target.go
+++ b/internal/emulator/edgeplatform/target.go
@@ -26,6 +26,8 @@
 	BreakMidEvent bool
 	// StallAfter makes each stream stall after this many events; 0 for never.
 	StallAfter int
+	// CommentWhileStalled makes a stalled stream send comments.
+	CommentWhileStalled bool
 	// WaitFor is the address of another engine for which each stream waits after StallAfter events, until the stream is
 	// rerouted to a path without that engine. HideWait leaves waiting streams out of the target's report.
 	WaitFor  string
@@ -433,6 +435,10 @@
 			}
 		}
 		if faults.WaitFor == "" && faults.StallAfter > 0 && sent >= faults.StallAfter {
+			for faults.CommentWhileStalled && r.Context().Err() == nil && control.Flush() == nil {
+				fmt.Fprint(w, ": waiting\n\n")
+				time.Sleep(eventInterval)
+			}
 			<-r.Context().Done()
 			return
 		}
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -25,6 +25,8 @@
 	raw []byte
 	// id is -1 if the event has none.
 	id int64
+	// comment reports whether the event has neither an id nor data, as those that only keep a connection open.
+	comment bool
 }
 
 // eventReader reads events from a stream.
@@ -37,7 +39,7 @@
 // event.
 func (r *eventReader) read() (event, error) {
 	r.buffer = r.buffer[:0]
-	id := int64(-1)
+	id, comment := int64(-1), true
 	for {
 		start := len(r.buffer)
 		if err := r.readLine(); err != nil {
@@ -48,14 +50,17 @@
 		}
 		line := bytes.TrimRight(r.buffer[start:], "\r\n")
 		if len(line) == 0 {
-			return event{raw: r.buffer, id: id}, nil
+			return event{raw: r.buffer, id: id, comment: comment}, nil
 		}
 		if value, found := bytes.CutPrefix(line, []byte("id:")); found {
 			parsed, err := strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64)
 			if err != nil {
 				return event{}, fmt.Errorf("parse id of stream event: %w", err)
 			}
-			id = parsed
+			id, comment = parsed, false
+		}
+		if bytes.HasPrefix(line, []byte("data")) {
+			comment = false
 		}
 	}
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -283,30 +283,40 @@
 
 // forwardEvent writes one event to the caller, and before the first event the head of the response.
 func (s *stream) forwardEvent(x *exchange, e event) error {
-	now := time.Now()
-	s.watchdog.recordArrival()
-	s.eventForwarded.Store(true)
-	s.forwardedAt.Store(int64(s.gateway.age()))
-	if !s.headWritten {
-		s.firstEventDelay = now.Sub(s.arrivedAt)
-		s.writeHead(x)
-	} else {
-		s.longestPause = max(s.longestPause, now.Sub(s.lastEventTime))
+	// An engine that has stalled may go on sending comments.
+	if !e.comment {
+		s.recordArrival()
 	}
-	s.lastEventTime = now
+	s.writeHead(x)
 	if _, err := s.writer.Write(e.raw); err != nil {
 		return err
 	}
 	if err := s.controller.Flush(); err != nil {
 		return err
 	}
-	s.events++
+	if !e.comment {
+		s.events++
+	}
 	if e.id >= 0 {
 		s.lastEventID = e.id
 	}
 	return nil
 }
 
+// recordArrival records the arrival of an event, which shows that the engines of the path make progress.
+func (s *stream) recordArrival() {
+	now := time.Now()
+	s.watchdog.recordArrival()
+	s.eventForwarded.Store(true)
+	s.forwardedAt.Store(int64(s.gateway.age()))
+	if s.events == 0 {
+		s.firstEventDelay = now.Sub(s.arrivedAt)
+	} else {
+		s.longestPause = max(s.longestPause, now.Sub(s.lastEventTime))
+	}
+	s.lastEventTime = now
+}
+
 // writeHead writes the head of the response unless an earlier call has.
 func (s *stream) writeHead(x *exchange) {
 	if s.headWritten {
