Do not write the entry of an instance again at each restart

Cause: after a loss of power all instances restart, and each wrote its entry in the list of instances twice: the first write met the row of its earlier process, the second one replaced it by the same address.

Change: a row with the same address, zone and capacity stays. Other instances learn of the new process by its messages.

Test: TestRegister.

--- a/internal/loadshare/loadshare_test.go
+++ b/internal/loadshare/loadshare_test.go
@@ -227,6 +227,28 @@
 	waitUntil(t, "the other instance reads", func() bool { return !tables[0].Reader() && tables[1].Reader() })
 }
 
+// TestRegister guards against an instance that is listed at an address that it no longer has, and against a second write at
+// each restart of an instance that has not moved.
+func TestRegister(t *testing.T) {
+	member := newMember("a")
+	restarted, moved := member, member
+	restarted.Incarnation, moved.Incarnation, moved.Address = 2, 2, "127.0.0.1:1"
+	for name, test := range map[string]struct {
+		member  loadshare.Member
+		version uint64
+	}{"restarted": {restarted, 1}, "moved": {moved, 2}} {
+		store := listing(t, member)
+		s := New(Options{Self: test.member, View: fakeView{}, Table: store})
+		if err := s.register(context.Background()); err != nil {
+			t.Errorf("%s: %v", name, err)
+		}
+		listed, err := decodeMember(store.rows[0])
+		if err != nil || listed.Address != test.member.Address || store.rows[0].Version != test.version {
+			t.Errorf("%s: listed as %+v at version %d, want version %d (%v)", name, listed, store.rows[0].Version, test.version, err)
+		}
+	}
+}
+
 // scriptedCollector answers the calls of members with a reply of type R.
 type scriptedCollector[R any] struct{ reply R }
 
--- a/internal/loadshare/members.go
+++ b/internal/loadshare/members.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/hyssophoist/hyssophoist/api/platformapi"
 	"github.com/hyssophoist/hyssophoist/core/loadshare"
 	"github.com/hyssophoist/hyssophoist/internal/platform"
 )
@@ -65,11 +66,33 @@
 	defer cancel()
 	err := s.writeEntry(ctx, 0)
 	var conflict *platform.ConflictError
-	if errors.As(err, &conflict) {
-		// The row is that of an earlier process, or of this one if the response to an earlier write was lost.
-		err = s.writeEntry(ctx, conflict.Row.Version)
+	switch {
+	case !errors.As(err, &conflict):
+		return err
+	case s.isListedAs(conflict.Row):
+		return nil
 	}
-	return err
+	return s.writeEntry(ctx, conflict.Row.Version)
+}
+
+// isListedAs reports whether a row lists this instance as it is. The incarnation may be that of an earlier process: other
+// instances learn of the present one by its messages.
+func (s *Sharer) isListedAs(row platformapi.Row) bool {
+	listed, err := decodeMember(row)
+	listed.Incarnation = s.options.Self.Incarnation
+	return err == nil && listed == s.options.Self
+}
+
+// decodeMember decodes a row of the list of instances.
+func decodeMember(row platformapi.Row) (loadshare.Member, error) {
+	var member loadshare.Member
+	if err := json.Unmarshal(row.Value, &member); err != nil {
+		return loadshare.Member{}, err
+	}
+	if member.ID == "" {
+		return loadshare.Member{}, errors.New("the entry has no id")
+	}
+	return member, nil
 }
 
 // writeEntry writes the entry of this instance if its row has the given version; 0 means that there is none.
@@ -92,9 +115,9 @@
 	}
 	var members []loadshare.Member
 	for _, row := range rows {
-		var member loadshare.Member
-		if err := json.Unmarshal(row.Value, &member); err != nil || member.ID == "" {
-			log.Event("entry is no instance", "key", row.Key)
+		member, err := decodeMember(row)
+		if err != nil {
+			log.Event("entry is no instance", "key", row.Key, "error", err.Error())
 			continue
 		}
 		members = append(members, member)
