Query only engines that left an instance without an answer

Cause: a collector queried every engine that another instance suspected, also those that had refused or failed a request, of which there are many under overload; each query is charged.

Change: loads say which engines left an instance without an answer, and collectors query these.

Test: TestDueProbes.

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -73,9 +73,9 @@
 	Slowdown      float64
 	SlowdownAt    time.Time
 	OtherSlowdown float64
-	// OtherSuspected reports whether another instance suspects the engine of having failed, OtherResponsive whether the
-	// engine has recently answered another instance.
-	OtherSuspected, OtherResponsive bool
+	// OtherSuspected reports whether another instance suspects the engine of having failed. OtherResponsive and
+	// OtherUnresponsive report whether the engine has recently answered another instance, or left one without an answer.
+	OtherSuspected, OtherResponsive, OtherUnresponsive bool
 	// Latency is the moving average of the duration of plain calls.
 	Latency time.Duration
 
@@ -196,7 +196,7 @@
 		load := loads[id]
 		state.OtherSequences, state.OtherCache = int(load.Sequences), float64(load.Cache)
 		state.OtherSlowdown, state.OtherSuspected = float64(load.Slowdown), load.Suspected
-		state.OtherResponsive = load.Responsive
+		state.OtherResponsive, state.OtherUnresponsive = load.Responsive, load.Unresponsive
 		state.CallsSinceShared = 0
 	}
 }
@@ -206,8 +206,9 @@
 	loads := loadshare.Loads{}
 	for id, state := range f.targets.All {
 		load := loadshare.Load{
-			Suspected:  now.Before(state.suspectUntil) || state.Down(now),
-			Responsive: now.Sub(state.reachability.answeredAt) < responsiveTTL,
+			Suspected:    now.Before(state.suspectUntil) || state.Down(now),
+			Responsive:   now.Sub(state.reachability.answeredAt) < responsiveTTL,
+			Unresponsive: state.Down(now),
 		}
 		if state.CacheInUse > 0 {
 			load.Sequences, load.Cache = int32(state.InProgress), float32(state.CacheInUse)
--- a/core/fleet/reach.go
+++ b/core/fleet/reach.go
@@ -56,7 +56,7 @@
 
 // DueProbes returns the engines to query now. An engine that is down is queried after the interval, and at once if another
 // instance got an answer from it: one instance that queries often is enough. An instance that queries for its zone also
-// queries the engines that others suspect, since it decides whether their layers are placed elsewhere.
+// queries the engines that left others without an answer, since it decides whether their layers are placed elsewhere.
 func (f *Fleet) DueProbes(now time.Time, policy ProbePolicy) (due []Target) {
 	for _, state := range f.targets.All {
 		if state.Card == "" {
@@ -64,7 +64,7 @@
 		}
 		down := state.Down(now)
 		overdue := now.Sub(state.reachability.unansweredAt) >= policy.Interval
-		if down && (overdue || state.OtherResponsive) || policy.ForZone && (down || state.OtherSuspected) {
+		if down && (overdue || state.OtherResponsive) || policy.ForZone && (down || state.OtherUnresponsive) {
 			due = append(due, state.Target)
 		}
 	}
--- a/core/loadshare/loadshare.go
+++ b/core/loadshare/loadshare.go
@@ -37,8 +37,9 @@
 	Slowdown float32
 	// Suspected is true if an instance suspects that the engine has failed.
 	Suspected bool
-	// Responsive is true if the engine has recently answered a query of an instance.
-	Responsive bool
+	// Responsive is true if the engine has recently answered a query of an instance, Unresponsive if it has left one
+	// unanswered. Both can hold, since instances can be cut off from an engine.
+	Responsive, Unresponsive bool
 }
 
 // Loads maps engines to loads. Engines without load are omitted.
@@ -53,6 +54,7 @@
 		sum.Slowdown = max(sum.Slowdown, load.Slowdown)
 		sum.Suspected = sum.Suspected || load.Suspected
 		sum.Responsive = sum.Responsive || load.Responsive
+		sum.Unresponsive = sum.Unresponsive || load.Unresponsive
 		l[id] = sum
 	}
 }
