Send loads less often in large zones

Change: members of zones with 50 instances and more ask for loads in every second to fourth message only.

Test: TestPeriodsBetweenLoads.

--- a/core/loadshare/loadshare.go
+++ b/core/loadshare/loadshare.go
@@ -19,6 +19,11 @@
 	// loadTTL is how long the loads of an instance count after the last contact with it, and those of another zone after
 	// their last update. A dead instance causes no load, since its calls end with it.
 	loadTTL = 2 * time.Second
+	// membersPerPeriod and maxPeriods set how often a member asks for the loads of the others: every period in a zone of
+	// fewer members, and less often in larger ones, since the replies of a collector hold all engines that are in use. With
+	// maxPeriods the loads are still renewed well within loadTTL.
+	membersPerPeriod = 50
+	maxPeriods       = 4
 	// minBackoff and maxBackoff bound the delay before an instance that did not answer is called again.
 	minBackoff = time.Second
 	maxBackoff = 15 * time.Second
@@ -252,6 +257,10 @@
 	}
 }
 
+// PeriodsBetweenLoads returns the number of periods between two messages in which a member of a zone with the given number
+// of members asks for the loads of the others.
+func PeriodsBetweenLoads(members int) int { return min(maxPeriods, 1+members/membersPerPeriod) }
+
 // InContact returns the other members of this instance's zone whose loads still count according to loadTTL.
 func (t *Table) InContact(now time.Time) []Member {
 	members := t.upMembers(now, t.self.Zone)
--- a/core/loadshare/loadshare_test.go
+++ b/core/loadshare/loadshare_test.go
@@ -148,3 +148,14 @@
 		t.Error("a member that is not a collector has a rank")
 	}
 }
+
+// TestPeriodsBetweenLoads guards against a collector whose replies grow with instances times engines, and against loads that
+// are renewed so rarely that they expire.
+func TestPeriodsBetweenLoads(t *testing.T) {
+	const period = 250 * time.Millisecond
+	for members, want := range map[int]int{1: 1, 46: 1, 100: 3, 1000: 4} {
+		if got := PeriodsBetweenLoads(members); got != want || time.Duration(got)*period > loadTTL/2 {
+			t.Errorf("%d members: every %d periods, want %d", members, got, want)
+		}
+	}
+}
--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -152,7 +152,9 @@
 	}
 	s.observeVersions(args.Versions)
 	reply.Self, reply.Versions = s.options.Self, s.versions()
-	reply.Others, reply.Instances = s.table.Others(now, own, args.From.ID)
+	if !args.SkipLoads {
+		reply.Others, reply.Instances = s.table.Others(now, own, args.From.ID)
+	}
 	if members := s.table.Members(now); len(members) != args.Known {
 		reply.Members = members
 	}
@@ -250,6 +252,7 @@
 		return
 	}
 	args := s.shareArgs(collector, len(members))
+	args.SkipLoads = period%loadshare.PeriodsBetweenLoads(len(members)) != 0
 	var reply ShareReply
 	err := s.client.Call(ctx, collector.Address, shareCall, args, &reply)
 	if err == nil && reply.Self.ID != collector.ID {
@@ -265,7 +268,9 @@
 	s.table.Add(reply.Members...)
 	s.takeTables(&reply)
 	s.observeVersions(reply.Versions)
-	s.options.View.SetOtherLoads(reply.Others, reply.Instances, false)
+	if !args.SkipLoads {
+		s.options.View.SetOtherLoads(reply.Others, reply.Instances, false)
+	}
 }
 
 // shareArgs returns the message for the collector. known is the number of instances of the zone that this one knows.
--- a/internal/loadshare/message.go
+++ b/internal/loadshare/message.go
@@ -29,6 +29,8 @@
 	// Known is the number of instances of the zone that the sender knows.
 	Known    int
 	Versions loadshare.Versions
+	// SkipLoads reports whether the sender needs no loads in the reply.
+	SkipLoads bool
 	// States describes the sender's copies of the store's tables; nil if it does not take changes from other instances.
 	States *TableStates
 	// Batches holds what the collector lacked according to its last reply.
@@ -39,7 +41,8 @@
 
 // ShareReply returns the loads of all other instances.
 type ShareReply struct {
-	Self      loadshare.Member
+	Self loadshare.Member
+	// Others and Instances are not set if ShareArgs.SkipLoads is.
 	Others    loadshare.Loads
 	Instances loadshare.Instances
 	// Members lists the instances of the zone. It is set only if their number differs from ShareArgs.Known.
