Choose the stages of paths and of reroutes in one place

Cause: ChoosePath and replacementStages each called the chooser, checked the free KV cache and turned its result into stages. Change: chooseStages does so for both, with an offset of the layers.

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -84,18 +84,31 @@
 func (d *Dispatcher) ChoosePath(now time.Time, service *routing.Service, size GenerationSize,
 	avoid map[entity.TargetID]bool) *Path {
 	d.collectNodes(now, service, size, avoid)
-	stages, cost, ok := d.chooser.Choose(service.Engine.Layers, d.nodes, d.transferCosts(service.Engine, size))
-	if !ok || cost >= layerpath.OverCapacityCost {
+	layers := entity.LayerRange{To: service.Engine.Layers}
+	stages := d.chooseStages(layers, d.nodes, d.transferCosts(service.Engine, size))
+	if stages == nil {
 		return nil
 	}
-	path := &Path{size: size}
-	for _, stage := range stages {
-		path.Stages = append(path.Stages, Stage{Target: d.states[stage.Index].Target, Layers: stage.Layers})
-	}
+	path := &Path{Stages: stages, size: size}
 	d.reserve(path)
 	return path
 }
 
+// chooseStages returns the cheapest stages that cover layers, or nil if no nodes with enough free KV cache do. The layers of
+// the nodes count from layers.From.
+func (d *Dispatcher) chooseStages(layers entity.LayerRange, nodes []layerpath.Node, costs layerpath.Costs) []Stage {
+	chosen, cost, ok := d.chooser.Choose(layers.Len(), nodes, costs)
+	if !ok || cost >= layerpath.OverCapacityCost {
+		return nil
+	}
+	stages := make([]Stage, len(chosen))
+	for i, stage := range chosen {
+		held := entity.LayerRange{From: layers.From + stage.Layers.From, To: layers.From + stage.Layers.To}
+		stages[i] = Stage{Target: d.states[stage.Index].Target, Layers: held}
+	}
+	return stages
+}
+
 // transferCosts returns the costs of passing a generation from engine to engine.
 func (d *Dispatcher) transferCosts(engine *routing.Engine, size GenerationSize) layerpath.Costs {
 	crossZoneDelay := float64(0)
--- a/core/dispatch/reroute.go
+++ b/core/dispatch/reroute.go
@@ -6,7 +6,6 @@
 
 	"github.com/hyssophoist/hyssophoist/core/entity"
 	"github.com/hyssophoist/hyssophoist/core/fleet"
-	"github.com/hyssophoist/hyssophoist/core/layerpath"
 	"github.com/hyssophoist/hyssophoist/core/routing"
 )
 
@@ -81,16 +80,7 @@
 	}
 	costs := d.transferCosts(service.Engine, size)
 	costs.RemoteEntry, costs.Zone = costs.CrossZone, zones[0]
-	stages, cost, ok := d.chooser.Choose(gap.Len(), d.nodes[:kept], costs)
-	if !ok || cost >= layerpath.OverCapacityCost {
-		return nil
-	}
-	replacements := make([]Stage, len(stages))
-	for i, stage := range stages {
-		layers := entity.LayerRange{From: gap.From + stage.Layers.From, To: gap.From + stage.Layers.To}
-		replacements[i] = Stage{Target: d.states[stage.Index].Target, Layers: layers}
-	}
-	return replacements
+	return d.chooseStages(gap, d.nodes[:kept], costs)
 }
 
 // Targets returns the engines of a path in order.
