Build the daemon for process tests in one place

Cause: TestMain stood twice, in test and test/soak, with folder names as the only difference. Change: testenv.RunWithDaemon.

--- a/test/soak/main_test.go
+++ b/test/soak/main_test.go
@@ -5,26 +5,12 @@
 
 import (
 	"os"
-	"os/exec"
-	"path/filepath"
 	"testing"
+
+	"github.com/hyssophoist/hyssophoist/internal/testenv"
 )
 
 // binary is the path of hyssophoistd, which TestMain builds.
 var binary string
 
-func TestMain(m *testing.M) {
-	directory, err := os.MkdirTemp("", "hyssophoist-soak")
-	if err != nil {
-		panic(err)
-	}
-	binary = filepath.Join(directory, "hyssophoistd")
-	build := exec.Command("go", "build", "-o", binary, "../../cmd/hyssophoistd")
-	build.Stderr = os.Stderr
-	code := 1
-	if err := build.Run(); err == nil {
-		code = m.Run()
-	}
-	_ = os.RemoveAll(directory)
-	os.Exit(code)
-}
+func TestMain(m *testing.M) { os.Exit(testenv.RunWithDaemon(m, &binary)) }
