--- a/internal/edge/sharing_test.go
+++ b/internal/edge/sharing_test.go
@@ -162,3 +162,23 @@
 		time.Sleep(20 * time.Millisecond)
 	}
 }
+
+// TestSilentConnectionsOfAllInstances guards against a zone that learns of no change because the connections of all its
+// instances to the store have gone silent while new ones work, and something still answers their keepalive probes. No
+// instance can then tell the others. The platform allows for the time in which it counts instances as out of contact.
+func TestSilentConnectionsOfAllInstances(t *testing.T) {
+	t.Parallel()
+	const contactTime = 3 * time.Second
+	d := newDeployment(t)
+	for _, proxy := range d.addZone(3) {
+		proxy.Blackhole()
+	}
+	silent := time.Now()
+	d.configure(10, "key-10")
+	for _, daemon := range d.daemons {
+		d.waitUntil("the change is known", func() bool { return daemon.gateway.Configuration().Version >= 10 })
+		if took := time.Since(silent); took > contactTime+changeBound {
+			t.Errorf("%s had the change %v after the connections went silent", daemon.settings.Daemon, took)
+		}
+	}
+}
