--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -42,6 +42,10 @@
 	leaseMargin   = 400 * time.Millisecond
 	// orderTimeout bounds an order together with the report that is read before it.
 	orderTimeout = 500 * time.Millisecond
+	// maxConcurrentOrders bounds the orders that are sent at the same time, and minOrderTime is the time that must be left for
+	// one to be started: thousands of orders at once would all run into orderTimeout on a small instance.
+	maxConcurrentOrders = 64
+	minOrderTime        = orderTimeout / 2
 	// leaseReadInterval is the time between two reads of a lease that another instance holds.
 	leaseReadInterval = 500 * time.Millisecond
 	// rankDelay is how long an instance waits for each instance that should act before it. In most cases only one instance
@@ -350,15 +354,25 @@
 	}
 }
 
-// sendOrders sends the orders concurrently, so that the engines load at the same time.
+// sendOrders sends the orders, many at the same time, so that the engines load together. Orders for which the time does not
+// suffice are left to the next step.
 func (p *Placer) sendOrders(ctx context.Context, orders []placement.Order, targets map[entity.TargetID]fleet.Target,
 	fencing uint64, left time.Duration) {
 	ctx, cancel := context.WithTimeout(ctx, left)
 	defer cancel()
-	p.lease.OrderBegun(boottime.Now().Add(left))
+	end := boottime.Now().Add(left)
+	p.lease.OrderBegun(end)
+	slots := make(chan struct{}, maxConcurrentOrders)
 	var running sync.WaitGroup
 	for _, order := range orders {
-		running.Go(func() { p.sendOrder(ctx, order, targets[order.Target], fencing) })
+		slots <- struct{}{}
+		if end.Sub(boottime.Now()) < minOrderTime {
+			break
+		}
+		running.Go(func() {
+			p.sendOrder(ctx, order, targets[order.Target], fencing)
+			<-slots
+		})
 	}
 	running.Wait()
 	p.lease.OrderEnded()
--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -24,6 +24,11 @@
 	row       *platformapi.Row
 	storeDown bool
 	engines   map[entity.TargetID]*fakeEngine
+	// callTime is the time that each call of an engine takes on the processor of the instance, one after another.
+	callTime  time.Duration
+	processor sync.Mutex
+	// lateReports counts the reports that were not there in time.
+	lateReports int
 	// received lists the orders that engines received, also those refused or not answered.
 	received []string
 }
@@ -82,8 +87,23 @@
 	return []uint64{c.row.Version}, nil
 }
 
-func (c *fakeCluster) Report(_ context.Context, target fleet.Target) (fleet.Report, error) {
+// delay takes up the processor of the instance for the time of a call.
+func (c *fakeCluster) delay(ctx context.Context) {
+	c.processor.Lock()
+	defer c.processor.Unlock()
+	if c.callTime > 0 && ctx.Err() == nil {
+		time.Sleep(c.callTime)
+	}
+}
+
+func (c *fakeCluster) Report(ctx context.Context, target fleet.Target) (fleet.Report, error) {
+	c.delay(ctx)
 	c.mu.Lock()
+	if err := ctx.Err(); err != nil {
+		c.lateReports++
+		c.mu.Unlock()
+		return fleet.Report{}, err
+	}
 	defer c.mu.Unlock()
 	e := c.engines[target.ID]
 	return fleet.Report{Born: e.target.Born, Layers: e.target.Layers, Orders: e.orders, Changing: e.finishLoading != nil}, nil
@@ -375,3 +395,20 @@
 		t.Error("the candidate does not place the layers")
 	}
 }
+
+// TestManyOrders guards against an instance that sends so many orders at once that most of them run into their timeout: the
+// first placement of 3,000 engines then takes until callers are there.
+func TestManyOrders(t *testing.T) {
+	t.Parallel()
+	const engines = 600
+	c, v := newFakeCluster(engines), newView()
+	c.callTime = time.Millisecond
+	p := newPlacer(c, v, "d0", 0)
+	placed := func() bool { return len(c.received) >= engines }
+	if !runUntil(t, c, []*view{v}, []*Placer{p}, 10*time.Second, placed) {
+		t.Errorf("%d orders for %d engines", len(c.received), engines)
+	}
+	if c.lateReports > engines/10 {
+		t.Errorf("%d reports were not there in time", c.lateReports)
+	}
+}
