Encode pushed changes once for all members that lack the same

Each push encoded the same rows once for each member, as plain gob.

Change: members are grouped by the versions that they have; each group's changes are encoded and compressed once. The receiver bounds what it unpacks.

Test: TestUnpackBatches. Tried and dropped: sending the first 500 of many changes instead of having the member read the store.

--- a/internal/loadshare/loadshare_test.go
+++ b/internal/loadshare/loadshare_test.go
@@ -325,3 +325,28 @@
 		t.Errorf("version %d, want 1", got)
 	}
 }
+
+// TestUnpackBatches guards against a process that fails, or takes all memory, because of a malformed message of a peer.
+func TestUnpackBatches(t *testing.T) {
+	batches := newFakeTables(3).Since(TableStates{})
+	packed, err := batches.pack()
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, err := unpackBatches(packed)
+	if err != nil || got.Configuration == nil || len(got.Configuration.Rows) != 1 || got.Configuration.Version != 3 {
+		t.Errorf("got %+v, %v", got.Configuration, err)
+	}
+	large := TableBatches{Targets: &tablecache.Batch{Rows: []tablecache.Row{{Value: make([]byte, maxUnpackedBytes)}}}}
+	oversized, err := large.pack()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, content := range map[string][]byte{
+		"empty": nil, "no gzip": []byte("x"), "cut": packed[:len(packed)/2], "oversized": oversized,
+	} {
+		if _, err := unpackBatches(content); err == nil {
+			t.Errorf("%s: no error", name)
+		}
+	}
+}
--- a/internal/loadshare/message.go
+++ b/internal/loadshare/message.go
@@ -1,11 +1,19 @@
 package loadshare
 
 import (
+	"bytes"
+	"compress/gzip"
+	"encoding/gob"
+	"io"
+
 	"github.com/hyssophoist/hyssophoist/core/entity"
 	"github.com/hyssophoist/hyssophoist/core/loadshare"
 	"github.com/hyssophoist/hyssophoist/core/tablecache"
 )
 
+// maxUnpackedBytes bounds the memory for the batches of one message.
+const maxUnpackedBytes = 16 << 20
+
 // TableStates holds the states of an instance's copies of the store's tables.
 type TableStates struct {
 	Configuration, Targets tablecache.State
@@ -22,6 +30,32 @@
 	return b.Configuration != nil && len(b.Configuration.Rows) > 0 || b.Targets != nil && len(b.Targets.Rows) > 0
 }
 
+// pack encodes batches as compressed gob.
+func (b TableBatches) pack() ([]byte, error) {
+	var packed bytes.Buffer
+	compressor, err := gzip.NewWriterLevel(&packed, gzip.BestSpeed)
+	if err != nil {
+		return nil, err
+	}
+	if err := gob.NewEncoder(compressor).Encode(b); err != nil {
+		return nil, err
+	}
+	if err := compressor.Close(); err != nil {
+		return nil, err
+	}
+	return packed.Bytes(), nil
+}
+
+// unpackBatches decodes what pack has encoded. The error may also mean that the content is larger than maxUnpackedBytes.
+func unpackBatches(packed []byte) (batches TableBatches, err error) {
+	decompressor, err := gzip.NewReader(bytes.NewReader(packed))
+	if err != nil {
+		return TableBatches{}, err
+	}
+	err = gob.NewDecoder(io.LimitReader(decompressor, maxUnpackedBytes)).Decode(&batches)
+	return batches, err
+}
+
 // ShareArgs reports the loads of an instance to the collector of its zone.
 type ShareArgs struct {
 	From  loadshare.Member
@@ -57,8 +91,9 @@
 
 // PushArgs brings a member of the zone changes of the store's tables as soon as the collector has them.
 type PushArgs struct {
-	From    loadshare.Member
-	Batches TableBatches
+	From loadshare.Member
+	// Packed holds the batches as pack encodes them: most members lack the same changes, so that these are encoded once.
+	Packed []byte
 }
 
 // PushReply returns the states of the receiver's copies.
--- a/internal/loadshare/push.go
+++ b/internal/loadshare/push.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/hyssophoist/hyssophoist/core/loadshare"
+	"github.com/hyssophoist/hyssophoist/core/tablecache"
 )
 
 const pushCall = "LoadShare.Push"
@@ -21,7 +22,11 @@
 	if tables == nil || args.From.Zone != s.options.Self.Zone {
 		return fmt.Errorf("instance %s takes no changes from %s", s.options.Self.ID, args.From.ID)
 	}
-	tables.Offer(args.Batches)
+	batches, err := unpackBatches(args.Packed)
+	if err != nil {
+		return fmt.Errorf("decode changes from %s: %w", args.From.ID, err)
+	}
+	tables.Offer(batches)
 	reply.States = tables.States()
 	return nil
 }
@@ -58,28 +63,53 @@
 		}
 		return
 	}
-	s.mu.Lock()
-	members := s.table.InContact(time.Now())
-	batches := make([]TableBatches, len(members))
-	for i, member := range members {
-		if states, known := s.memberStates[member.ID]; known {
-			batches[i] = tables.News(states)
-		}
-	}
-	s.mu.Unlock()
 	var calls sync.WaitGroup
-	for i, member := range members {
-		if batches[i].hasRows() {
-			calls.Go(func() { s.push(ctx, member, batches[i]) })
+	for versions, members := range s.membersByVersions() {
+		batches := tables.News(versions.states())
+		if !batches.hasRows() {
+			continue
+		}
+		packed, err := batches.pack()
+		if err != nil {
+			log.Errorf("failed to encode changes of the store's tables: %v", err)
+			return
+		}
+		for _, member := range members {
+			calls.Go(func() { s.push(ctx, member, packed) })
 		}
 	}
 	calls.Wait()
 }
 
+// tableVersions holds the versions of a member's copies; 0 if it has none.
+type tableVersions struct{ configuration, targets uint64 }
+
+// states returns the states of copies with these versions, which were just confirmed.
+func (v tableVersions) states() TableStates {
+	return TableStates{
+		Configuration: tablecache.State{Loaded: v.configuration > 0, Version: v.configuration},
+		Targets:       tablecache.State{Loaded: v.targets > 0, Version: v.targets},
+	}
+}
+
+// membersByVersions groups the members in contact by the versions that they have as far as this instance knows.
+func (s *Sharer) membersByVersions() map[tableVersions][]loadshare.Member {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	groups := make(map[tableVersions][]loadshare.Member)
+	for _, member := range s.table.InContact(time.Now()) {
+		if states, known := s.memberStates[member.ID]; known {
+			versions := tableVersions{states.Configuration.Version, states.Targets.Version}
+			groups[versions] = append(groups[versions], member)
+		}
+	}
+	return groups
+}
+
 // push sends changes to a member. After a failed call the member gets them with its next message.
-func (s *Sharer) push(ctx context.Context, member loadshare.Member, batches TableBatches) {
+func (s *Sharer) push(ctx context.Context, member loadshare.Member, packed []byte) {
 	var reply PushReply
-	args := &PushArgs{From: s.options.Self, Batches: batches}
+	args := &PushArgs{From: s.options.Self, Packed: packed}
 	if err := s.client.Call(ctx, member.Address, pushCall, args, &reply); err != nil {
 		log.Debugf("failed to push changes to %s: %v", member.ID, err)
 		return
