--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -94,8 +94,8 @@
 	return path
 }
 
-// chooseStages returns the cheapest stages that cover layers, or nil if no nodes with enough free KV cache do. The layers of
-// the nodes count from layers.From.
+// chooseStages returns the cheapest stages that cover layers, or nil if no nodes with enough free KV cache do. The
+// layers of the nodes count from layers.From.
 func (d *Dispatcher) chooseStages(layers entity.LayerRange, nodes []layerpath.Node, costs layerpath.Costs) []Stage {
 	chosen, cost, ok := d.chooser.Choose(layers.Len(), nodes, costs)
 	if !ok || cost >= layerpath.OverCapacityCost {
--- a/core/dispatch/reroute.go
+++ b/core/dispatch/reroute.go
@@ -14,8 +14,8 @@
 // would make the remaining engines prefill them in full, and would use up the retry budget.
 //
 // Without crossZone, the replacements are in the zones of their neighbours on the path. Sending the tokens so far of
-// many streams to another zone would saturate the link between zones and take longer than prefilling them anew on a path
-// within another zone.
+// many streams to another zone would saturate the link between zones and take longer than prefilling them anew on a
+// path within another zone.
 //
 // The new path is counted as in progress until Release, in addition to the old one. Reroute returns nil if the first
 // engine is faulty, since it holds the connection, or if no other engines with enough free KV cache cover the layers.
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -19,9 +19,9 @@
 	removalGracePeriod = 2 * time.Second
 	// outageRemovalWindow is how long after the last store failure a removal may still be caused by the outage.
 	outageRemovalWindow = 2 * time.Second
-	// minSuspicionTime and maxSuspicionTime bound the time for which a failed target is suspected and gets new work only
-	// if there is no other target. It doubles with each consecutive failure, so that few attempts are wasted on a target
-	// that is gone.
+	// minSuspicionTime and maxSuspicionTime bound the time for which a failed target is suspected and gets new work
+	// only if there is no other target. It doubles with each consecutive failure, so that few attempts are wasted on a
+	// target that is gone.
 	minSuspicionTime = 500 * time.Millisecond
 	maxSuspicionTime = 4 * time.Second
 	// sharedLoadTTL is how long the last load received from other instances stays valid.
@@ -74,7 +74,8 @@
 	SlowdownAt    time.Time
 	OtherSlowdown float64
 	// OtherSuspected reports whether another instance suspects the engine of having failed. OtherResponsive and
-	// OtherUnresponsive report whether the engine has recently answered another instance, or left one without an answer.
+	// OtherUnresponsive report whether the engine has recently answered another instance, or left one without an
+	// answer.
 	OtherSuspected, OtherResponsive, OtherUnresponsive bool
 	// Latency is the moving average of the duration of plain calls.
 	Latency time.Duration
--- a/core/fleet/reach.go
+++ b/core/fleet/reach.go
@@ -54,9 +54,10 @@
 	ForZone bool
 }
 
-// DueProbes returns the engines to query now. An engine that is down is queried after the interval, and at once if another
-// instance got an answer from it: one instance that queries often is enough. An instance that queries for its zone also
-// queries the engines that left others without an answer, since it decides whether their layers are placed elsewhere.
+// DueProbes returns the engines to query now. An engine that is down is queried after the interval, and at once if
+// another instance got an answer from it: one instance that queries often is enough. An instance that queries for its
+// zone also queries the engines that left others without an answer, since it decides whether their layers are placed
+// elsewhere.
 func (f *Fleet) DueProbes(now time.Time, policy ProbePolicy) (due []Target) {
 	for _, state := range f.targets.All {
 		if state.Card == "" {
--- a/core/fleet/reach_test.go
+++ b/core/fleet/reach_test.go
@@ -122,8 +122,8 @@
 	}
 }
 
-// TestDueProbes guards against engines that every instance queries, which with 195 instances are probed only every 8 s, and
-// against an engine that stays unused although it answers another instance.
+// TestDueProbes guards against engines that every instance queries, which with 195 instances are probed only every 8 s,
+// and against an engine that stays unused although it answers another instance.
 func TestDueProbes(t *testing.T) {
 	const interval, ttl = 8 * time.Second, 9 * time.Second
 	now := time.Unix(1000, 0)
--- a/core/loadshare/loadshare.go
+++ b/core/loadshare/loadshare.go
@@ -1,10 +1,10 @@
 // Package loadshare tells each instance of a deployment the load that the other instances put on engines.
 //
-// In each zone the first member, in the order of capacity and then ID, that is not down is the collector: it receives the
-// loads of the other members and replies to each with the sum of all loads except that member's own. The collectors of the
-// zones exchange their sums. Thus a member sends one message per period regardless of the number of instances, and the next
-// member replaces a failed collector. The collector also names the reader of its zone, which follows the tables of the
-// store for the other members. The package does no I/O and reads no clock; callers pass the time in.
+// In each zone the first member, in the order of capacity and then ID, that is not down is the collector: it receives
+// the loads of the other members and replies to each with the sum of all loads except that member's own. The collectors
+// of the zones exchange their sums. Thus a member sends one message per period regardless of the number of instances,
+// and the next member replaces a failed collector. The collector also names the reader of its zone, which follows the
+// tables of the store for the other members. The package does no I/O and reads no clock; callers pass the time in.
 package loadshare
 
 import (
@@ -16,12 +16,12 @@
 )
 
 const (
-	// loadTTL is how long the loads of an instance count after the last contact with it, and those of another zone after
-	// their last update. A dead instance causes no load, since its calls end with it.
+	// loadTTL is how long the loads of an instance count after the last contact with it, and those of another zone
+	// after their last update. A dead instance causes no load, since its calls end with it.
 	loadTTL = 2 * time.Second
-	// membersPerPeriod and maxPeriods set how often a member asks for the loads of the others: every period in a zone of
-	// fewer members, and less often in larger ones, since the replies of a collector hold all engines that are in use. With
-	// maxPeriods the loads are still renewed well within loadTTL.
+	// membersPerPeriod and maxPeriods set how often a member asks for the loads of the others: every period in a zone
+	// of fewer members, and less often in larger ones, since the replies of a collector hold all engines that are in
+	// use. With maxPeriods the loads are still renewed well within loadTTL.
 	membersPerPeriod = 50
 	maxPeriods       = 4
 	// minBackoff and maxBackoff bound the delay before an instance that did not answer is called again.
@@ -82,8 +82,8 @@
 	Capacity int
 }
 
-// compareMembers orders the members of a zone. Members with more capacity come first, since the work of a collector grows
-// with the number of instances.
+// compareMembers orders the members of a zone. Members with more capacity come first, since the work of a collector
+// grows with the number of instances.
 func compareMembers(a, b Member) int {
 	return cmp.Or(cmp.Compare(b.Capacity, a.Capacity), cmp.Compare(a.ID, b.ID))
 }
@@ -161,8 +161,9 @@
 // Collector returns the collector of this instance's zone, which may be this instance.
 func (t *Table) Collector(now time.Time) Member { return t.Members(now)[0] }
 
-// Reader returns the member that follows the tables of the store for this instance's zone: the first one in contact that
-// can read the store, beginning with this instance, the collector. ownReadsFailing reports whether this one cannot.
+// Reader returns the member that follows the tables of the store for this instance's zone: the first one in contact
+// that can read the store, beginning with this instance, the collector. ownReadsFailing reports whether this one
+// cannot.
 func (t *Table) Reader(now time.Time, ownReadsFailing bool) Member {
 	if !ownReadsFailing {
 		return t.self
@@ -257,8 +258,8 @@
 	}
 }
 
-// PeriodsBetweenLoads returns the number of periods between two messages in which a member of a zone with the given number
-// of members asks for the loads of the others.
+// PeriodsBetweenLoads returns the number of periods between two messages in which a member of a zone with the given
+// number of members asks for the loads of the others.
 func PeriodsBetweenLoads(members int) int { return min(maxPeriods, 1+members/membersPerPeriod) }
 
 // InContact returns the other members of this instance's zone whose loads still count according to loadTTL.
--- a/core/loadshare/loadshare_test.go
+++ b/core/loadshare/loadshare_test.go
@@ -106,8 +106,8 @@
 	}
 }
 
-// TestReader guards against a zone whose reader cannot read the store although another member can, and against a reader that
-// is not in contact.
+// TestReader guards against a zone whose reader cannot read the store although another member can, and against a reader
+// that is not in contact.
 func TestReader(t *testing.T) {
 	table := New(instance("a", "z"))
 	table.Add(instance("never-seen", "z"))
@@ -149,8 +149,8 @@
 	}
 }
 
-// TestPeriodsBetweenLoads guards against a collector whose replies grow with instances times engines, and against loads that
-// are renewed so rarely that they expire.
+// TestPeriodsBetweenLoads guards against a collector whose replies grow with instances times engines, and against loads
+// that are renewed so rarely that they expire.
 func TestPeriodsBetweenLoads(t *testing.T) {
 	const period = 250 * time.Millisecond
 	for members, want := range map[int]int{1: 1, 46: 1, 100: 3, 1000: 4} {
--- a/core/tablecache/cache.go
+++ b/core/tablecache/cache.go
@@ -4,7 +4,8 @@
 // With hundreds of instances, a read by each of them for each change is most of the load on the store. In each zone one
 // instance therefore follows the table in the store, and the others take its changes from other instances. Each message
 // between them carries the version up to which it is complete and the time since the store confirmed that, so that an
-// instance knows how old its copy is whichever way the rows came. An instance whose copy is too old reads the store itself.
+// instance knows how old its copy is whichever way the rows came. An instance whose copy is too old reads the store
+// itself.
 //
 // The package does no I/O and reads no clock: callers pass the time in.
 package tablecache
@@ -16,8 +17,8 @@
 )
 
 const (
-	// maxBatchRows bounds the rows of a batch for another instance, so that a batch passes within the timeout of a call on
-	// the slowest link.
+	// maxBatchRows bounds the rows of a batch for another instance, so that a batch passes within the timeout of a call
+	// on the slowest link.
 	maxBatchRows = 500
 	// maxTombstones bounds the deleted rows that are remembered for instances that have not received the deletion.
 	maxTombstones = 2000
@@ -42,8 +43,8 @@
 	Version uint64
 	// Age is the time since the store confirmed that there are no changes after Version other than those in Rows.
 	Age time.Duration
-	// OutageAge is the time since the last failed read of an outage of the store that preceded this content; 0 if there was
-	// none. Entries of targets may have lapsed in an outage.
+	// OutageAge is the time since the last failed read of an outage of the store that preceded this content; 0 if there
+	// was none. Entries of targets may have lapsed in an outage.
 	OutageAge time.Duration
 }
 
@@ -109,8 +110,8 @@
 	c.failedAt = now
 }
 
-// ApplyRead applies a batch that this instance has read from the store. Failed reads before it count as an outage of the
-// store only if no other instance has read the table meanwhile; else only this instance was cut off.
+// ApplyRead applies a batch that this instance has read from the store. Failed reads before it count as an outage of
+// the store only if no other instance has read the table meanwhile; else only this instance was cut off.
 func (c *Cache) ApplyRead(now time.Time, batch Batch) Change {
 	if !c.failedSince.IsZero() && c.confirmedAt.Before(c.failedSince) {
 		c.outageAt = c.failedAt
@@ -144,8 +145,8 @@
 	return c.merge(batch)
 }
 
-// confirm records when the store confirmed the batch. The confirmation of an earlier version holds for this copy as well:
-// all changes before that time are in the batch, and so in the copy.
+// confirm records when the store confirmed the batch. The confirmation of an earlier version holds for this copy as
+// well: all changes before that time are in the batch, and so in the copy.
 func (c *Cache) confirm(now time.Time, batch Batch) {
 	if at := now.Add(-batch.Age); at.After(c.confirmedAt) {
 		c.confirmedAt = at
@@ -228,8 +229,9 @@
 	return rows
 }
 
-// Since returns a batch for an instance whose copy is in the given state. It returns nil if this copy is of no use to that
-// instance: this one has no copy, or the batch would have too many rows, so that the other instance must read the store.
+// Since returns a batch for an instance whose copy is in the given state. It returns nil if this copy is of no use to
+// that instance: this one has no copy, or the batch would have too many rows, so that the other instance must read the
+// store.
 func (c *Cache) Since(now time.Time, state State) *Batch {
 	if !c.loaded {
 		return nil
--- a/core/tablecache/cache_test.go
+++ b/core/tablecache/cache_test.go
@@ -34,8 +34,8 @@
 	return c
 }
 
-// TestApplyShared guards against rows that go back to an earlier version, a gap that is taken for complete, and a deleted row
-// that comes back with a late batch.
+// TestApplyShared guards against rows that go back to an earlier version, a gap that is taken for complete, and a
+// deleted row that comes back with a late batch.
 func TestApplyShared(t *testing.T) {
 	for _, test := range []struct {
 		name    string
@@ -89,8 +89,8 @@
 	}
 }
 
-// TestSince guards against an instance that gets too little: a batch without the deletions that it missed, or one that is
-// too large to arrive within the timeout of a call.
+// TestSince guards against an instance that gets too little: a batch without the deletions that it missed, or one that
+// is too large to arrive within the timeout of a call.
 func TestSince(t *testing.T) {
 	c := loaded()
 	c.ApplyRead(start, Batch{After: 2, Rows: []Row{{Key: "a", Version: 3, Deleted: true}, row("c", 4)}, Version: 4})
@@ -218,9 +218,9 @@
 	}
 }
 
-// TestRandomisedCaches guards against copies that differ from the table when batches of changes, late ones and whole tables
-// among them, are passed between instances in any order, and against a copy that counts as confirmed at a time at which it
-// was not complete.
+// TestRandomisedCaches guards against copies that differ from the table when batches of changes, late ones and whole
+// tables among them, are passed between instances in any order, and against a copy that counts as confirmed at a time
+// at which it was not complete.
 func TestRandomisedCaches(t *testing.T) {
 	seed, steps := testenv.Seed(t, 1), testenv.Steps(t, 200_000)
 	random := rand.New(rand.NewPCG(seed, 0))
--- a/core/tablecache/policy.go
+++ b/core/tablecache/policy.go
@@ -3,16 +3,18 @@
 import "time"
 
 const (
-	// pollShare, staleShare and spreadShare are fractions of the time within which a change must be known. The calls of a
-	// reader that other instances rely on end when pollShare of it has passed since the last confirmation. Any other instance reads the store itself
-	// if its copy has not been confirmed for staleShare of it, which is more than a reader's call takes. These reads are
-	// spread over spreadShare by the rank of the instance, so that the first one to succeed can tell the others.
+	// pollShare, staleShare and spreadShare are fractions of the time within which a change must be known. The calls of
+	// a reader that other instances rely on end when pollShare of it has passed since the last confirmation. Any other
+	// instance reads the store itself if its copy has not been confirmed for staleShare of it, which is more than a
+	// reader's call takes. These reads are spread over spreadShare by the rank of the instance, so that the first one
+	// to succeed can tell the others.
 	pollShare   = 0.5
 	staleShare  = 0.7
 	spreadShare = 0.2
-	rankStep    = 25 * time.Millisecond
-	// maxPollWait is how long the calls of a reader wait if no other instance relies on it. It is long because calls are
-	// billed, and can be long because dead connections are detected by keepalive probes.
+	// rankStep is the time between the reads of two successive ranks.
+	rankStep = 25 * time.Millisecond
+	// maxPollWait is how long the calls of a reader wait if no other instance relies on it. It is long because calls
+	// are billed, and can be long because dead connections are detected by keepalive probes.
 	maxPollWait = 20 * time.Second
 	// minFresher is how much later a confirmation must be to be passed on without changes.
 	minFresher = 300 * time.Millisecond
@@ -28,14 +30,15 @@
 	Rank int
 }
 
-// ReadPolicy decides when an instance reads a table from the store. It answers the load that hundreds of instances put on
-// the store.
+// ReadPolicy decides when an instance reads a table from the store. It answers the load that hundreds of instances put
+// on the store.
 type ReadPolicy struct {
 	// Bound is the time within which a change must be known.
 	Bound time.Duration
 }
 
-// PollWait returns how long a call of an instance waits for a change. age is the time since its copy was last confirmed.
+// PollWait returns how long a call of an instance waits for a change. age is the time since its copy was last
+// confirmed.
 func (p ReadPolicy) PollWait(role Role, age time.Duration) time.Duration {
 	switch {
 	case !role.Reader:
--- a/core/tablecache/policy_test.go
+++ b/core/tablecache/policy_test.go
@@ -5,8 +5,8 @@
 	"time"
 )
 
-// TestReadPolicy guards against a reader whose calls are so long that the others read the store while it is well, and against
-// reads of the others that come too late for the bound or all at once.
+// TestReadPolicy guards against a reader whose calls are so long that the others read the store while it is well, and
+// against reads of the others that come too late for the bound or all at once.
 func TestReadPolicy(t *testing.T) {
 	for _, bound := range []time.Duration{2 * time.Second, 4 * time.Second} {
 		policy := ReadPolicy{Bound: bound}
@@ -27,8 +27,9 @@
 	}
 }
 
-// TestPollWait guards against a reader that takes longer to confirm its copy after a pause between two reads, against an
-// instance that waits in the store although others read for it, and against frequent calls by a reader that nobody relies on.
+// TestPollWait guards against a reader that takes longer to confirm its copy after a pause between two reads, against
+// an instance that waits in the store although others read for it, and against frequent calls by a reader that nobody
+// relies on.
 func TestPollWait(t *testing.T) {
 	policy := ReadPolicy{Bound: 4 * time.Second}
 	for _, test := range []struct {
--- a/internal/connpool/connpool.go
+++ b/internal/connpool/connpool.go
@@ -48,8 +48,8 @@
 // ErrReadLimit is returned by reads after the limit that LimitReads has set.
 var ErrReadLimit = errors.New("target sent more than the limit")
 
-// LimitReads makes reads fail with ErrReadLimit after n more bytes have arrived from the target, or never if n is negative.
-// Bytes that the Reader has already buffered do not count.
+// LimitReads makes reads fail with ErrReadLimit after n more bytes have arrived from the target, or never if n is
+// negative. Bytes that the Reader has already buffered do not count.
 func (c *Conn) LimitReads(n int) { c.limiter.remaining = n }
 
 // readLimiter is the source of a connection's Reader.
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -49,8 +49,8 @@
 	// memoryLimitRatio is the soft memory limit of the Go runtime as a fraction of the memory of the process. The
 	// garbage collector runs more often near that limit.
 	memoryLimitRatio = 0.6
-	// bodyMemoryRatio is the memory for buffered response bodies as a fraction of the memory of the process. Reading a body
-	// can take twice its size while the buffer grows.
+	// bodyMemoryRatio is the memory for buffered response bodies as a fraction of the memory of the process. Reading a
+	// body can take twice its size while the buffer grows.
 	bodyMemoryRatio     = 0.15
 	maintenanceInterval = time.Second
 	startTimeout        = 10 * time.Second
--- a/internal/edge/endless_test.go
+++ b/internal/edge/endless_test.go
@@ -13,8 +13,8 @@
 // socketBufferBytes is more than what the buffers of a loopback connection hold on both sides.
 const socketBufferBytes = 16 << 20
 
-// TestEndlessResponses guards against a target that sends a head or a body without end until the caller closes: the daemon
-// would read it until the request times out, and run out of memory.
+// TestEndlessResponses guards against a target that sends a head or a body without end until the caller closes: the
+// daemon would read it until the request times out, and run out of memory.
 func TestEndlessResponses(t *testing.T) {
 	t.Parallel()
 	const maxBody, maxHead = 8 << 20, 1 << 20
@@ -54,7 +54,8 @@
 	}
 }
 
-// TestEndlessBodiesTogether guards against bodies that are each below the limit and together use up the memory of the process.
+// TestEndlessBodiesTogether guards against bodies that are each below the limit and together use up the memory of the
+// process.
 func TestEndlessBodiesTogether(t *testing.T) {
 	t.Parallel()
 	d := newDeployment(t)
--- a/internal/edge/sharing_test.go
+++ b/internal/edge/sharing_test.go
@@ -12,7 +12,8 @@
 // changeBound is the time within which a change must be known, as in the settings of the daemons.
 const changeBound = 2 * time.Second
 
-// addZone starts daemons in zone a, each with a proxy of its own in front of the store. The first one becomes the reader.
+// addZone starts daemons in zone a, each with a proxy of its own in front of the store. The first one becomes the
+// reader.
 func (d *deployment) addZone(count int) []*faultproxy.Proxy {
 	d.t.Helper()
 	var proxies []*faultproxy.Proxy
@@ -57,8 +58,8 @@
 	}
 }
 
-// TestZoneReadsChangesOnce guards against a call to the store by each instance for each change: with 195 instances these
-// were 18,000 calls in a minute.
+// TestZoneReadsChangesOnce guards against a call to the store by each instance for each change: with 195 instances
+// these were 18,000 calls in a minute.
 func TestZoneReadsChangesOnce(t *testing.T) {
 	t.Parallel()
 	d := newDeployment(t)
@@ -69,16 +70,16 @@
 		d.configure(10+i, "key-1")
 		d.awaitVersion(d.daemons, 10+i)
 	}
-	// The reader reads two tables, at least once in half of the bound. A call for each change and one read of the list of
-	// instances come on top.
+	// The reader reads two tables, at least once in half of the bound. A call for each change and one read of the list
+	// of instances come on top.
 	limit := changes + 2*int(time.Since(began)/(changeBound/2)+1) + 1
 	if calls := d.store.Calls() - before; calls > limit {
 		t.Errorf("%d daemons made %d calls to the store for %d changes, want at most %d", daemons, calls, changes, limit)
 	}
 }
 
-// TestZoneOutlivesItsReader guards against a zone that misses changes when the instance that reads the store for it is lost
-// or cannot read the store. The instances that can must carry the others.
+// TestZoneOutlivesItsReader guards against a zone that misses changes when the instance that reads the store for it is
+// lost or cannot read the store. The instances that can must carry the others.
 func TestZoneOutlivesItsReader(t *testing.T) {
 	t.Parallel()
 	for name, fail := range map[string]func(d *deployment, store *faultproxy.Proxy){
@@ -138,8 +139,8 @@
 	}
 }
 
-// TestEntriesLapsedInOutageStayInUse guards against an instance that drops the targets whose entries lapsed while the store
-// was down because it did not read the store itself and so did not notice the outage.
+// TestEntriesLapsedInOutageStayInUse guards against an instance that drops the targets whose entries lapsed while the
+// store was down because it did not read the store itself and so did not notice the outage.
 func TestEntriesLapsedInOutageStayInUse(t *testing.T) {
 	t.Parallel()
 	d := newDeployment(t)
--- a/internal/edge/tables.go
+++ b/internal/edge/tables.go
@@ -12,8 +12,8 @@
 )
 
 const (
-	// minCoalesceInterval is the minimum time between two reads of a table's changes, so that a reader makes one call for a
-	// burst of changes.
+	// minCoalesceInterval is the minimum time between two reads of a table's changes, so that a reader makes one call
+	// for a burst of changes.
 	minCoalesceInterval = 300 * time.Millisecond
 	// joinTime is how long an instance of a deployment that starts for the first time waits for the tables from another
 	// instance before it reads the store. Later processes must be ready as soon as possible.
--- a/internal/emulator/edgeplatform/target.go
+++ b/internal/emulator/edgeplatform/target.go
@@ -20,8 +20,8 @@
 type TargetFaults struct {
 	// Hang makes the target read requests and never respond.
 	Hang bool
-	// BreakAfter closes the connection of each stream after this many events; 0 for never. BreakMidEvent closes it in the
-	// middle of the next event.
+	// BreakAfter closes the connection of each stream after this many events; 0 for never. BreakMidEvent closes it in
+	// the middle of the next event.
 	BreakAfter    int
 	BreakMidEvent bool
 	// StallAfter makes each stream stall after this many events; 0 for never.
@@ -32,8 +32,8 @@
 	// rerouted to a path without that engine. HideWait leaves waiting streams out of the target's report.
 	WaitFor  string
 	HideWait bool
-	// RefuseReroutesVia makes the target refuse to reroute streams to paths that contain the engine at this address, which
-	// it names as the cause.
+	// RefuseReroutesVia makes the target refuse to reroute streams to paths that contain the engine at this address,
+	// which it names as the cause.
 	RefuseReroutesVia string
 	// RefusePathsVia makes the target refuse requests whose path contains the engine at this address, which it names as
 	// the cause. The header X-Not-Executed marks the refusal.
@@ -46,8 +46,8 @@
 	Truncate bool
 	// OmitStamp omits the header X-Server-Stamp, which shows that a response of a plain service comes from the target.
 	OmitStamp bool
-	// EndlessHead and EndlessBody make responses of plain services go on until the other side closes the connection, in a
-	// line of the head or in the body.
+	// EndlessHead and EndlessBody make responses of plain services go on until the other side closes the connection, in
+	// a line of the head or in the body.
 	EndlessHead, EndlessBody bool
 	// FailStatus is the status of responses of plain services; 200 if 0.
 	FailStatus int
@@ -87,8 +87,8 @@
 	maxOrderedLayers int
 	// inProgress counts the requests in progress.
 	inProgress int
-	// waitingStreams holds a channel for each stream that waits for another engine, by request ID. The channel is closed
-	// when the stream is rerouted to a path without that engine.
+	// waitingStreams holds a channel for each stream that waits for another engine, by request ID. The channel is
+	// closed when the stream is rerouted to a path without that engine.
 	waitingStreams map[string]chan string
 	// endlessBytes counts the bytes written for EndlessHead and EndlessBody.
 	endlessBytes int64
--- a/internal/gateway/bodybudget.go
+++ b/internal/gateway/bodybudget.go
@@ -15,8 +15,8 @@
 // errBodyBudget is returned for a response whose body does not fit into what is left of the memory for bodies.
 var errBodyBudget = errors.New("response bodies in progress exceed the memory for them")
 
-// bodyBudget bounds the memory of the response bodies that are being buffered for all requests together. It answers targets
-// that send bodies without end. It is safe for concurrent use.
+// bodyBudget bounds the memory of the response bodies that are being buffered for all requests together. It answers
+// targets that send bodies without end. It is safe for concurrent use.
 type bodyBudget struct {
 	limit int64
 	used  atomic.Int64
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -118,8 +118,8 @@
 	return errors.New("received only interim responses or responses to other requests")
 }
 
-// readBody reads the body of the response and returns the connection to the pool if it can be reused. The body counts for
-// the memory of all bodies until the request q ends.
+// readBody reads the body of the response and returns the connection to the pool if it can be reused. The body counts
+// for the memory of all bodies until the request q ends.
 func (x *exchange) readBody(q *request, timeout time.Duration) ([]byte, error) {
 	x.setTimeout(timeout)
 	charged := &budgetReader{body: io.LimitReader(x.response.Body, maxBodyBytes+1), budget: &x.gateway.bodies}
--- a/internal/gateway/inspect.go
+++ b/internal/gateway/inspect.go
@@ -18,8 +18,8 @@
 	// reportTTL is how long a report is cached for all streams. The reports that engines return are themselves a few
 	// hundred milliseconds old, and each call for one is charged.
 	reportTTL = 500 * time.Millisecond
-	// minDownProbeInterval is the interval between two probes of an engine that is down by the instance that probes for its
-	// zone. For the others the interval grows by the same amount for every instancesPerIntervalStep instances.
+	// minDownProbeInterval is the interval between two probes of an engine that is down by the instance that probes for
+	// its zone. For the others the interval grows by the same amount for every instancesPerIntervalStep instances.
 	minDownProbeInterval     = 600 * time.Millisecond
 	instancesPerIntervalStep = 16
 )
--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -1,5 +1,5 @@
-// Package loadshare runs the protocol of core/loadshare between edge daemons. They exchange loads, and the changes of the
-// store's tables, over net/rpc on the internal port, and discover each other through a table in the store.
+// Package loadshare runs the protocol of core/loadshare between edge daemons. They exchange loads, and the changes of
+// the store's tables, over net/rpc on the internal port, and discover each other through a table in the store.
 package loadshare
 
 import (
@@ -73,8 +73,8 @@
 	Self  loadshare.Member
 	View  View
 	Table platform.TableStore
-	// Tables, if set, lets the instances pass on the changes of the store's tables, and detect that one of them no longer
-	// receives changes.
+	// Tables, if set, lets the instances pass on the changes of the store's tables, and detect that one of them no
+	// longer receives changes.
 	Tables Tables
 	// Listen opens the peer listener at Self.Address; net.Listen if nil.
 	Listen func(network, address string) (net.Listener, error)
@@ -113,8 +113,8 @@
 	}
 }
 
-// CollectorRank returns the rank of this instance among the collectors of all zones, as far as it knows. It reports false
-// if this instance is not a collector.
+// CollectorRank returns the rank of this instance among the collectors of all zones, as far as it knows. It reports
+// false if this instance is not a collector.
 func (s *Sharer) CollectorRank() (rank int, isCollector bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -290,8 +290,8 @@
 	return args
 }
 
-// takeTables applies what a collector's reply says about the tables of the store. A collector of an earlier version of the
-// program says nothing, so that this instance reads the store itself. The caller holds s.mu.
+// takeTables applies what a collector's reply says about the tables of the store. A collector of an earlier version of
+// the program says nothing, so that this instance reads the store itself. The caller holds s.mu.
 func (s *Sharer) takeTables(reply *ShareReply) {
 	tables := s.options.Tables
 	if tables == nil {
@@ -319,8 +319,8 @@
 	}
 }
 
-// collect exchanges sums with the collectors of other zones every zonePeriods periods, and passes the loads of all other
-// instances to the view.
+// collect exchanges sums with the collectors of other zones every zonePeriods periods, and passes the loads of all
+// other instances to the view.
 func (s *Sharer) collect(ctx context.Context, period int) {
 	own := s.options.View.OwnLoads()
 	if tables := s.options.Tables; tables != nil {
--- a/internal/loadshare/loadshare_test.go
+++ b/internal/loadshare/loadshare_test.go
@@ -22,7 +22,8 @@
 
 const waitLimit = 10 * time.Second
 
-// fakeTables implements Tables with a counter in place of each table: the batch of a version stands for all changes up to it.
+// fakeTables implements Tables with a counter in place of each table: the batch of a version stands for all changes up
+// to it.
 type fakeTables struct {
 	mu      sync.Mutex
 	version uint64
@@ -182,8 +183,8 @@
 	}
 }
 
-// TestChangesArePushed guards against members that wait for their next message to learn of a change, and against changes read
-// by a member that do not reach the others.
+// TestChangesArePushed guards against members that wait for their next message to learn of a change, and against
+// changes read by a member that do not reach the others.
 func TestChangesArePushed(t *testing.T) {
 	store := &memberStore{}
 	tables := []*fakeTables{newFakeTables(1), newFakeTables(1), newFakeTables(1)}
@@ -227,8 +228,8 @@
 	waitUntil(t, "the other instance reads", func() bool { return !tables[0].Reader() && tables[1].Reader() })
 }
 
-// TestRegister guards against an instance that is listed at an address that it no longer has, and against a second write at
-// each restart of an instance that has not moved.
+// TestRegister guards against an instance that is listed at an address that it no longer has, and against a second
+// write at each restart of an instance that has not moved.
 func TestRegister(t *testing.T) {
 	member := newMember("a")
 	restarted, moved := member, member
@@ -300,8 +301,8 @@
 	Instances loadshare.Instances
 }
 
-// TestCollectorOfEarlierVersion guards against an instance that reads no changes because the collector of its zone runs a
-// version of the program that passes none on.
+// TestCollectorOfEarlierVersion guards against an instance that reads no changes because the collector of its zone runs
+// a version of the program that passes none on.
 func TestCollectorOfEarlierVersion(t *testing.T) {
 	collector := newMember("a")
 	serveShare(t, collector.Address, EarlierReply{Self: collector})
--- a/internal/loadshare/members.go
+++ b/internal/loadshare/members.go
@@ -25,9 +25,9 @@
 )
 
 // syncMembers adds this instance to the list of instances in the store and reads the list. While this instance is the
-// collector of its zone, it reads the list again at intervals until ctx is done; the other members learn of new instances
-// from the collector. A collector reads it soon after its start, since instances that started at the same time may not have
-// been listed yet.
+// collector of its zone, it reads the list again at intervals until ctx is done; the other members learn of new
+// instances from the collector. A collector reads it soon after its start, since instances that started at the same
+// time may not have been listed yet.
 func (s *Sharer) syncMembers(ctx context.Context) {
 	registered, read := false, false
 	for ctx.Err() == nil {
@@ -75,8 +75,8 @@
 	return s.writeEntry(ctx, conflict.Row.Version)
 }
 
-// isListedAs reports whether a row lists this instance as it is. The incarnation may be that of an earlier process: other
-// instances learn of the present one by its messages.
+// isListedAs reports whether a row lists this instance as it is. The incarnation may be that of an earlier process:
+// other instances learn of the present one by its messages.
 func (s *Sharer) isListedAs(row platformapi.Row) bool {
 	listed, err := decodeMember(row)
 	listed.Incarnation = s.options.Self.Incarnation
--- a/internal/loadshare/message.go
+++ b/internal/loadshare/message.go
@@ -19,8 +19,8 @@
 	Configuration, Targets tablecache.State
 }
 
-// TableBatches holds batches of the store's tables for another instance. A batch is nil if the sender has nothing of use
-// to the receiver.
+// TableBatches holds batches of the store's tables for another instance. A batch is nil if the sender has nothing of
+// use to the receiver.
 type TableBatches struct {
 	Configuration, Targets *tablecache.Batch
 }
@@ -46,7 +46,8 @@
 	return packed.Bytes(), nil
 }
 
-// unpackBatches decodes what pack has encoded. The error may also mean that the content is larger than maxUnpackedBytes.
+// unpackBatches decodes what pack has encoded. The error may also mean that the content is larger than
+// maxUnpackedBytes.
 func unpackBatches(packed []byte) (batches TableBatches, err error) {
 	decompressor, err := gzip.NewReader(bytes.NewReader(packed))
 	if err != nil {
@@ -92,7 +93,8 @@
 // PushArgs brings a member of the zone changes of the store's tables as soon as the collector has them.
 type PushArgs struct {
 	From loadshare.Member
-	// Packed holds the batches as pack encodes them: most members lack the same changes, so that these are encoded once.
+	// Packed holds the batches as pack encodes them: most members lack the same changes, so that these are encoded
+	// once.
 	Packed []byte
 }
 
--- a/internal/loadshare/push.go
+++ b/internal/loadshare/push.go
@@ -31,8 +31,8 @@
 	return nil
 }
 
-// TablesChanged makes this instance pass on changes of the store's tables at once: to the members of its zone if it is the
-// collector, else to the collector.
+// TablesChanged makes this instance pass on changes of the store's tables at once: to the members of its zone if it is
+// the collector, else to the collector.
 func (s *Sharer) TablesChanged() {
 	select {
 	case s.changed <- struct{}{}:
@@ -51,7 +51,8 @@
 	}
 }
 
-// pushToZone sends changes to the members that lack them. A reader that is not the collector has the collector pass them on.
+// pushToZone sends changes to the members that lack them. A reader that is not the collector has the collector pass
+// them on.
 func (s *Sharer) pushToZone(ctx context.Context) {
 	tables := s.options.Tables
 	if tables == nil {
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -36,23 +36,24 @@
 	initialSettleTime = 1500 * time.Millisecond
 	// maxSettleTime bounds this wait, counted from when the first engine was listed.
 	maxSettleTime = 4 * time.Second
-	// leaseDuration is how long a lease lasts unless it is renewed. The other instances wait this long plus orderTimeout
-	// for a lost holder. leaseMargin is how long before the end of its lease the holder stops sending orders.
+	// leaseDuration is how long a lease lasts unless it is renewed. The other instances wait this long plus
+	// orderTimeout for a lost holder. leaseMargin is how long before the end of its lease the holder stops sending
+	// orders.
 	leaseDuration = 2 * time.Second
 	leaseMargin   = 400 * time.Millisecond
 	// orderTimeout bounds an order together with the report that is read before it.
 	orderTimeout = 500 * time.Millisecond
-	// maxConcurrentOrders bounds the orders that are sent at the same time, and minOrderTime is the time that must be left for
-	// one to be started: thousands of orders at once would all run into orderTimeout on a small instance.
+	// maxConcurrentOrders bounds the orders that are sent at the same time, and minOrderTime is the time that must be
+	// left for one to be started: thousands of orders at once would all run into orderTimeout on a small instance.
 	maxConcurrentOrders = 64
 	minOrderTime        = orderTimeout / 2
 	// leaseReadInterval is the time between two reads of a lease that another instance holds.
 	leaseReadInterval = 500 * time.Millisecond
-	// rankDelay is how long an instance waits for each instance that should act before it. In most cases only one instance
-	// then calls the store when all candidates see that orders are needed.
+	// rankDelay is how long an instance waits for each instance that should act before it. In most cases only one
+	// instance then calls the store when all candidates see that orders are needed.
 	rankDelay = 300 * time.Millisecond
-	// minConfirmTimeout is the minimum time after which an order that does not appear in the engine's entry in the store
-	// is given up. The timeout is loadTimeFactor times the expected load time if that is longer.
+	// minConfirmTimeout is the minimum time after which an order that does not appear in the engine's entry in the
+	// store is given up. The timeout is loadTimeFactor times the expected load time if that is longer.
 	minConfirmTimeout = 3 * time.Second
 	loadTimeFactor    = 3
 	// drainAllowance is added for an engine that drops layers, since it first waits for the streams that use them.
@@ -125,8 +126,8 @@
 	failed bool
 	// born identifies the process of the engine that the order is for, by its start time.
 	born int64
-	// untracked reports whether the engine is executing an order that this instance did not send or has given up, so that
-	// its range is unknown. listed is the range in the engine's entry when this was found out.
+	// untracked reports whether the engine is executing an order that this instance did not send or has given up, so
+	// that its range is unknown. listed is the range in the engine's entry when this was found out.
 	untracked bool
 	listed    entity.LayerRange
 }
@@ -142,12 +143,12 @@
 	options Options
 	lease   *lease.Lease
 
-	// neededSince is when it was first seen that orders are needed, or zero if none are. delay is how long this instance
-	// then waits before it acts.
+	// neededSince is when it was first seen that orders are needed, or zero if none are. delay is how long this
+	// instance then waits before it acts.
 	neededSince time.Time
 	delay       time.Duration
-	// engineCount is the number of engines last seen, grownAt when it last grew, and firstEngineAt when the first engine
-	// was seen.
+	// engineCount is the number of engines last seen, grownAt when it last grew, and firstEngineAt when the first
+	// engine was seen.
 	engineCount            int
 	grownAt, firstEngineAt time.Time
 	// processes holds the current process of each engine.
@@ -316,8 +317,8 @@
 	return now.Sub(p.grownAt) >= wait || now.Sub(p.firstEngineAt) >= maxSettleTime
 }
 
-// expire drops the orders that were not confirmed in time. It reports whether any order of this instance still waits for
-// confirmation.
+// expire drops the orders that were not confirmed in time. It reports whether any order of this instance still waits
+// for confirmation.
 func (p *Placer) expire(now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -354,8 +355,8 @@
 	}
 }
 
-// sendOrders sends the orders, many at the same time, so that the engines load together. Orders for which the time does not
-// suffice are left to the next step.
+// sendOrders sends the orders, many at the same time, so that the engines load together. Orders for which the time does
+// not suffice are left to the next step.
 func (p *Placer) sendOrders(ctx context.Context, orders []placement.Order, targets map[entity.TargetID]fleet.Target,
 	fencing uint64, left time.Duration) {
 	ctx, cancel := context.WithTimeout(ctx, left)
--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -40,8 +40,8 @@
 	// silent engines do not answer orders. Calling lateOrder executes the last order that got no answer.
 	silent    bool
 	lateOrder func()
-	// slow engines drop their layers as soon as they get an order, and hold the ordered layers only once finishLoading is
-	// called.
+	// slow engines drop their layers as soon as they get an order, and hold the ordered layers only once finishLoading
+	// is called.
 	slow          bool
 	finishLoading func()
 }
@@ -174,8 +174,8 @@
 	return New(Options{Daemon: id, View: v, Engines: c, Table: c, Rank: func() (int, bool) { return rank, true }})
 }
 
-// runUntil refreshes the views and steps the placers until done returns true. It returns false if that takes longer than
-// limit.
+// runUntil refreshes the views and steps the placers until done returns true. It returns false if that takes longer
+// than limit.
 func runUntil(t *testing.T, c *fakeCluster, views []*view, placers []*Placer, limit time.Duration,
 	done func() bool) bool {
 	t.Helper()
@@ -209,8 +209,8 @@
 	return true
 }
 
-// TestOnlyOneInstanceSendsOrders guards against duplicate orders when two instances see at the same time that orders are
-// needed. Each engine must get one order.
+// TestOnlyOneInstanceSendsOrders guards against duplicate orders when two instances see at the same time that orders
+// are needed. Each engine must get one order.
 func TestOnlyOneInstanceSendsOrders(t *testing.T) {
 	t.Parallel()
 	c := newFakeCluster(4)
@@ -271,9 +271,9 @@
 	}
 }
 
-// TestStoppingHolderReleasesTheLease guards against an instance that keeps or acquires the lease while it shuts down. In
-// incident inc-cdf4 of the benchmark run bhadu-dues, layers were lost for six seconds, four of which passed until the
-// lease of a stopped instance expired.
+// TestStoppingHolderReleasesTheLease guards against an instance that keeps or acquires the lease while it shuts down.
+// In incident inc-cdf4 of the benchmark run bhadu-dues, layers were lost for six seconds, four of which passed until
+// the lease of a stopped instance expired.
 func TestStoppingHolderReleasesTheLease(t *testing.T) {
 	t.Parallel()
 	c := newFakeCluster(2)
@@ -380,8 +380,8 @@
 	}
 }
 
-// TestOnlyCandidatesOrder guards against an instance that gives orders, or calls the store for the lease, although it leaves
-// placement to others.
+// TestOnlyCandidatesOrder guards against an instance that gives orders, or calls the store for the lease, although it
+// leaves placement to others.
 func TestOnlyCandidatesOrder(t *testing.T) {
 	t.Parallel()
 	c, v := newFakeCluster(2), newView()
@@ -396,8 +396,8 @@
 	}
 }
 
-// TestManyOrders guards against an instance that sends so many orders at once that most of them run into their timeout: the
-// first placement of 3,000 engines then takes until callers are there.
+// TestManyOrders guards against an instance that sends so many orders at once that most of them run into their timeout:
+// the first placement of 3,000 engines then takes until callers are there.
 func TestManyOrders(t *testing.T) {
 	t.Parallel()
 	const engines = 600
--- a/internal/settings/edge.go
+++ b/internal/settings/edge.go
@@ -20,8 +20,8 @@
 	Store   Store  `json:"store"`
 	// MemoryMB is the memory limit of the process in megabytes, above which the platform kills it.
 	MemoryMB int `json:"memory_mb"`
-	// CPUShare is the share of a processor core that the process gets; 0 if unknown. Instances with a greater share do the
-	// work that one instance of a zone does for the others.
+	// CPUShare is the share of a processor core that the process gets; 0 if unknown. Instances with a greater share do
+	// the work that one instance of a zone does for the others.
 	CPUShare float64 `json:"cpu_share,omitempty"`
 	// StopGrace is the time between the request to stop and the time at which the process is killed.
 	StopGrace Duration `json:"stop_grace"`
--- a/internal/testenv/build.go
+++ b/internal/testenv/build.go
@@ -10,8 +10,8 @@
 // daemonPackage is the main package of the daemons.
 const daemonPackage = "github.com/hyssophoist/hyssophoist/cmd/hyssophoistd"
 
-// RunWithDaemon builds hyssophoistd, stores the path of the binary in binary, runs the tests of m and removes the binary. It
-// returns the exit code.
+// RunWithDaemon builds hyssophoistd, stores the path of the binary in binary, runs the tests of m and removes the
+// binary. It returns the exit code.
 func RunWithDaemon(m *testing.M, binary *string) int {
 	directory, err := os.MkdirTemp("", "hyssophoist-test")
 	if err != nil {
--- a/internal/testenv/testenv.go
+++ b/internal/testenv/testenv.go
@@ -1,5 +1,5 @@
-// Package testenv reads the environment variables with which a run of a randomised test is repeated, and builds the daemon
-// for tests that run it as a process.
+// Package testenv reads the environment variables with which a run of a randomised test is repeated, and builds the
+// daemon for tests that run it as a process.
 package testenv
 
 import (
--- a/internal/watch/role_test.go
+++ b/internal/watch/role_test.go
@@ -36,8 +36,8 @@
 	}
 }
 
-// TestOffersReplaceReads guards against calls to the store by an instance that others keep up to date, and against one that
-// does not read the store once they stop.
+// TestOffersReplaceReads guards against calls to the store by an instance that others keep up to date, and against one
+// that does not read the store once they stop.
 func TestOffersReplaceReads(t *testing.T) {
 	const bound = time.Second
 	feed := &scriptedFeed{steps: []func() (tablecache.Batch, error){reply(1, 5)}}
@@ -60,8 +60,8 @@
 	}
 }
 
-// TestJoining guards against an instance that reads a table whole although another one offers it, and against one that never
-// reads it if no one does.
+// TestJoining guards against an instance that reads a table whole although another one offers it, and against one that
+// never reads it if no one does.
 func TestJoining(t *testing.T) {
 	feed := &scriptedFeed{steps: []func() (tablecache.Batch, error){reply(1, 5)}}
 	w := New(Options{Feed: feed, Table: "t", Policy: tablecache.ReadPolicy{Bound: time.Hour}, JoinTime: time.Hour})
@@ -84,8 +84,8 @@
 	return append([]string(nil), r.seen...)
 }
 
-// TestNewReader guards against an instance that becomes the reader while it waits after a failed call, and against a reader
-// that goes on with a long call when others begin to rely on it.
+// TestNewReader guards against an instance that becomes the reader while it waits after a failed call, and against a
+// reader that goes on with a long call when others begin to rely on it.
 func TestNewReader(t *testing.T) {
 	feed := &scriptedFeed{steps: []func() (tablecache.Batch, error){reply(1, 5), fail(errors.New("down"))}}
 	w := New(Options{Feed: feed, Table: "t", Policy: tablecache.ReadPolicy{Bound: 20 * time.Second}})
@@ -100,8 +100,8 @@
 	}
 }
 
-// TestLateResponseConfirmsItsStart guards against a response that waited in the buffers of a paused process and then counts
-// as a fresh confirmation.
+// TestLateResponseConfirmsItsStart guards against a response that waited in the buffers of a paused process and then
+// counts as a fresh confirmation.
 func TestLateResponseConfirmsItsStart(t *testing.T) {
 	const pause = 2 * lateResponse
 	feed := &scriptedFeed{steps: []func() (tablecache.Batch, error){reply(1, 5), func() (tablecache.Batch, error) {
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -1,6 +1,6 @@
 // Package watch follows tables of the store: the configuration, which operators write, and the list of targets, which
-// targets write. An instance reads a table with long polls while it is the reader of its zone; otherwise other instances
-// pass the changes on to it, and it reads the store only if its copy gets too old (see core/tablecache).
+// targets write. An instance reads a table with long polls while it is the reader of its zone; otherwise other
+// instances pass the changes on to it, and it reads the store only if its copy gets too old (see core/tablecache).
 package watch
 
 import (
@@ -54,8 +54,8 @@
 	// read, even without changes: what is known is then up to date.
 	StoreLost(err error)
 	Confirmed()
-	// OutageReported is called when another instance reports an outage of the store, before the rows that followed it. at
-	// is a reading of the clock of package boottime.
+	// OutageReported is called when another instance reports an outage of the store, before the rows that followed it.
+	// at is a reading of the clock of package boottime.
 	OutageReported(at time.Time)
 }
 
@@ -99,8 +99,8 @@
 	// failedAt is when the last read failed; zero after a successful one. failures counts the failures since then.
 	failedAt time.Time
 	failures int
-	// peerVersion is the highest version that another instance has reported. lagSince is when a version above that of the
-	// cache was first reported; zero if there is none.
+	// peerVersion is the highest version that another instance has reported. lagSince is when a version above that of
+	// the cache was first reported; zero if there is none.
 	peerVersion uint64
 	lagSince    time.Time
 	// cancelCall cancels the call in progress, which began at callStart.
@@ -224,8 +224,8 @@
 
 // ObservePeerVersion records the highest version of a row that another instance has read. It cancels the call in
 // progress if a newer row has not arrived within maxLag. This detects a dead connection that returns no error and whose
-// keepalive probes are still answered, for instance by a proxy in front of the store. An instance that waits for rows from
-// others reads the store if a newer row has not arrived within maxSharedLag.
+// keepalive probes are still answered, for instance by a proxy in front of the store. An instance that waits for rows
+// from others reads the store if a newer row has not arrived within maxSharedLag.
 func (w *Watcher) ObservePeerVersion(version uint64) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
