--- a/internal/loadshare/loadshare_test.go
+++ b/internal/loadshare/loadshare_test.go
@@ -87,6 +87,13 @@
 	return f.role.Reader
 }
 
+// hasRole reports whether the sharer has set a role.
+func (f *fakeTables) hasRole() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.roleSet
+}
+
 func (f *fakeTables) ReadsFailing() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -193,7 +200,7 @@
 		sharers = append(sharers, startSharer(t, newMember(entity.DaemonID(fmt.Sprintf("m%d", i))), store, f))
 	}
 	waitUntil(t, "the first instance reads for the zone", func() bool {
-		return tables[0].Reader() && !tables[1].Reader() && !tables[2].Reader() && tables[2].roleSet
+		return tables[0].Reader() && !tables[1].Reader() && !tables[2].Reader() && tables[2].hasRole()
 	})
 	arrived := 0
 	for version := uint64(2); version < 8; version++ {
