--- a/internal/watch/role_test.go
+++ b/internal/watch/role_test.go
@@ -116,3 +116,29 @@
 		t.Errorf("the copy counts as confirmed %v ago, the call began %v ago", age, pause)
 	}
 }
+
+// TestOldAnswerDoesNotConfirm guards against a copy that counts as confirmed by an answer of the store that is older than
+// the copy: the other instances would then not read the store themselves.
+func TestOldAnswerDoesNotConfirm(t *testing.T) {
+	const bound = time.Second
+	for name, first := range map[string]func() (tablecache.Batch, error){
+		"changes":     reply(0, 4),
+		"whole table": fail(ErrHistoryLost),
+	} {
+		t.Run(name, func(t *testing.T) {
+			feed := &scriptedFeed{steps: []func() (tablecache.Batch, error){reply(1, 5), first, reply(1, 4)}}
+			w := New(Options{Feed: feed, Table: "t", Policy: tablecache.ReadPolicy{Bound: bound}})
+			w.SetRole(tablecache.Role{Reader: true, Followed: true})
+			run(t, w)
+			awaitCalls(t, feed, 1)
+			confirmed := time.Now()
+			awaitCalls(t, feed, 4)
+			if age := w.State().Age; age < time.Since(confirmed)-minBackoff/2 {
+				t.Errorf("the copy counts as confirmed %v ago, want %v", age, time.Since(confirmed))
+			}
+			if !w.ReadsFailing() {
+				t.Error("reads do not count as failing")
+			}
+		})
+	}
+}
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -67,6 +67,9 @@
 // errRoleChanged means that a call was canceled because other instances now rely on this reader.
 var errRoleChanged = errors.New("the reader role has changed")
 
+// errOldAnswer means that the store answered with an older state than it has shown before.
+var errOldAnswer = errors.New("store answered with an older version than the copy has")
+
 // Options configures a Watcher.
 type Options struct {
 	Feed   Feed
@@ -384,6 +387,9 @@
 		}
 		return tablecache.Batch{}, err
 	}
+	if batch.Version < version {
+		return tablecache.Batch{}, errOldAnswer
+	}
 	if elapsed := boottime.Now().Sub(started); whole || wait == 0 || elapsed > wait+lateResponse {
 		batch.Age = elapsed
 	}
