Tell members of failed reads before the reader changes

Cause: only the reader knew that its read had failed; it told others of an outage only with its next successful read. When the role passed on before that, the new reader had no failed read of its own and took entries that had lapsed for removed. The class of fault: what a reader knows was lost with its role. An instance whose own reads failed before an outage, while others could still read, missed the outage too. Change: batches say since when reads fail; a failed read is pushed to the members at once; the next successful read, by whichever instance, then follows an outage. Of the configuration nothing else is lost with the role: its rows and versions are with every member. Remains: a reader that is killed before its first failed read has returned cannot tell of it.

--- a/core/tablecache/cache.go
+++ b/core/tablecache/cache.go
@@ -46,6 +46,10 @@
 	// OutageAge is the time since the last failed read of an outage of the store that preceded this content; 0 if there
 	// was none. Entries of targets may have lapsed in an outage.
 	OutageAge time.Duration
+	// FailingFor and FailedAge are the times since the first and the last of the failed reads of the store since it
+	// last confirmed the sender's copy; 0 if there are none. The next successful read, by whichever instance, then
+	// follows an outage.
+	FailingFor, FailedAge time.Duration
 }
 
 // State describes the copy of an instance to the others.
@@ -55,6 +59,8 @@
 	// Version is the version up to which the copy is complete, and Age the time since the store confirmed it.
 	Version uint64
 	Age     time.Duration
+	// Failing reports whether a read of the store is known to have failed since it last confirmed the copy.
+	Failing bool
 }
 
 // Change is what a batch has changed in a cache.
@@ -63,7 +69,7 @@
 	Replaced bool
 	// Rows holds the new and changed rows in the order of their versions.
 	Rows []Row
-	// OutageAt is the time of an outage that was not known before; zero if there is none.
+	// OutageAt is the time of an outage of which another instance has told; zero if that is not new.
 	OutageAt time.Time
 }
 
@@ -78,9 +84,12 @@
 	// version is the version up to which rows is complete, newest the highest version of a row.
 	version, newest uint64
 	confirmedAt     time.Time
-	// failedSince is the time of the first failed read since the last successful one, failedAt that of the last.
+	// failedSince and failedAt are the times of the first and the last failed read of this instance or another one. The
+	// reads before confirmedAt do not count.
 	failedSince, failedAt time.Time
-	outageAt              time.Time
+	// failedElsewhere reports whether the last failed read was one of another instance.
+	failedElsewhere bool
+	outageAt        time.Time
 }
 
 // Loaded reports whether the cache has a copy of the table.
@@ -97,27 +106,41 @@
 
 // State returns the state to tell other instances.
 func (c *Cache) State(now time.Time) State {
-	return State{Loaded: c.loaded, Version: c.version, Age: c.age(now)}
+	return State{Loaded: c.loaded, Version: c.version, Age: c.age(now), Failing: c.failing()}
 }
 
 func (c *Cache) age(now time.Time) time.Duration { return max(0, now.Sub(c.confirmedAt)) }
 
+// failing reports whether a read of the store has failed since the store last confirmed the copy.
+func (c *Cache) failing() bool { return !c.failedSince.IsZero() && c.confirmedAt.Before(c.failedSince) }
+
 // RecordFailure records that a read of the store by this instance failed at time now.
-func (c *Cache) RecordFailure(now time.Time) {
-	if c.failedSince.IsZero() {
-		c.failedSince = now
+func (c *Cache) RecordFailure(now time.Time) { c.recordFailures(now, now, false) }
+
+// recordFailures records reads that failed from first to last, by another instance if elsewhere is set.
+func (c *Cache) recordFailures(first, last time.Time, elsewhere bool) {
+	if !c.failing() || first.Before(c.failedSince) {
+		c.failedSince = first
+	}
+	if last.After(c.failedAt) {
+		c.failedAt, c.failedElsewhere = last, elsewhere
 	}
-	c.failedAt = now
 }
 
 // ApplyRead applies a batch that this instance has read from the store. Failed reads before it count as an outage of
-// the store only if no other instance has read the table meanwhile; else only this instance was cut off.
+// the store only if no other instance has read the table meanwhile; else only some instances were cut off.
 func (c *Cache) ApplyRead(now time.Time, batch Batch) Change {
-	if !c.failedSince.IsZero() && c.confirmedAt.Before(c.failedSince) {
+	outageAt := time.Time{}
+	if c.failing() {
 		c.outageAt = c.failedAt
+		if c.failedElsewhere {
+			outageAt = c.failedAt
+		}
 	}
 	c.failedSince, c.failedAt = time.Time{}, time.Time{}
-	return c.apply(now, batch)
+	change := c.apply(now, batch)
+	change.OutageAt = outageAt
+	return change
 }
 
 // ApplyShared applies a batch from another instance. A batch that leaves a gap after this copy is ignored.
@@ -128,6 +151,9 @@
 			c.outageAt, outageAt = at, at
 		}
 	}
+	if first := now.Add(-batch.FailingFor); batch.FailingFor > 0 && first.After(c.confirmedAt) {
+		c.recordFailures(first, now.Add(-batch.FailedAge), true)
+	}
 	change := c.apply(now, batch)
 	change.OutageAt = outageAt
 	return change
@@ -240,6 +266,9 @@
 	if !c.outageAt.IsZero() && now.Sub(c.outageAt) < outageMemory {
 		batch.OutageAge = max(1, now.Sub(c.outageAt))
 	}
+	if c.failing() {
+		batch.FailingFor, batch.FailedAge = max(1, now.Sub(c.failedSince)), now.Sub(c.failedAt)
+	}
 	switch {
 	case !state.Loaded || state.Version < c.completeSince:
 		batch.Full, batch.Rows = true, c.Rows()
@@ -252,7 +281,11 @@
 	return batch
 }
 
-// IsNews reports whether this copy has changes or a clearly later confirmation for an instance in the given state.
+// IsNews reports whether this copy has changes, a clearly later confirmation or a failed read for an instance in the given
+// state.
 func (c *Cache) IsNews(now time.Time, state State) bool {
-	return c.loaded && (!state.Loaded || c.version > state.Version || c.age(now)+minFresher < state.Age)
+	if !c.loaded {
+		return false
+	}
+	return !state.Loaded || c.version > state.Version || c.age(now)+minFresher < state.Age || c.failing() && !state.Failing
 }
--- a/core/tablecache/cache_test.go
+++ b/core/tablecache/cache_test.go
@@ -141,6 +141,41 @@
 	}
 }
 
+// TestOutageSurvivesReader guards against a new reader that does not know of the failed reads of the one before it, and so
+// takes entries that lapsed in the outage for removed.
+func TestOutageSurvivesReader(t *testing.T) {
+	reader, member, other := loaded(), loaded(), loaded()
+	reader.RecordFailure(at(time.Second))
+	if !reader.IsNews(at(time.Second), member.State(at(time.Second))) {
+		t.Error("a failed read is no news")
+	}
+	member.ApplyShared(at(time.Second), *reader.Since(at(time.Second), member.State(at(time.Second))))
+	if reader.IsNews(at(time.Second), member.State(at(time.Second))) {
+		t.Error("a failed read that is known is news")
+	}
+	change := member.ApplyRead(at(2*time.Second), Batch{After: 2, Version: 3})
+	if !change.OutageAt.Equal(at(time.Second)) {
+		t.Errorf("the new reader found an outage at %v, want 1 s after the start", change.OutageAt.Sub(start))
+	}
+	change = other.ApplyShared(at(2*time.Second), *member.Since(at(2*time.Second), other.State(at(2*time.Second))))
+	if !change.OutageAt.Equal(at(time.Second)) {
+		t.Errorf("another member learned of an outage at %v, want 1 s after the start", change.OutageAt.Sub(start))
+	}
+}
+
+// TestOutageAfterOwnFailure guards against an outage that goes unnoticed because the instance could not read the store
+// already before it, when others still could.
+func TestOutageAfterOwnFailure(t *testing.T) {
+	c := loaded()
+	c.RecordFailure(at(time.Second))
+	c.ApplyShared(at(2*time.Second), Batch{After: 2, Version: 3})
+	c.RecordFailure(at(3 * time.Second))
+	c.ApplyRead(at(4*time.Second), Batch{After: 3, Version: 4})
+	if got := c.Since(at(4*time.Second), State{}); got.OutageAge != time.Second {
+		t.Errorf("the last failed read of the outage was %v ago, want 1s", got.OutageAge)
+	}
+}
+
 // modelStore is a table with its complete history.
 type modelStore struct {
 	version uint64
--- a/internal/edge/observers.go
+++ b/internal/edge/observers.go
@@ -40,6 +40,7 @@
 
 // StoreLost implements watch.Observer.
 func (o *configurationObserver) StoreLost(error) {
+	defer o.sharer.TablesChanged()
 	o.metrics.StoreErrors.WithLabelValues("configuration").Inc()
 	o.store.CloseIdleConnections()
 }
@@ -110,6 +111,7 @@
 
 // StoreLost implements watch.Observer.
 func (o *targetObserver) StoreLost(error) {
+	defer o.sharer.TablesChanged()
 	o.metrics.StoreErrors.WithLabelValues("targets").Inc()
 	o.store.CloseIdleConnections()
 	o.gateway.WithFleet(func(f *fleet.Fleet) { f.RecordStoreFailure(boottime.Now()) })
--- a/internal/edge/sharing_test.go
+++ b/internal/edge/sharing_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -152,12 +153,37 @@
 		d.store.Remove("servers", target.ID)
 	}
 	d.store.SetFaults(edgeplatform.StoreFaults{})
-	end := time.Now().Add(changeBound / 2)
+	d.checkServed(d.daemons, changeBound/2)
+}
+
+// TestEntriesLapsedBeforeReaderChangeStayInUse guards against a new reader that drops the targets whose entries lapsed
+// while the store was down because only the reader before it had noticed the outage.
+func TestEntriesLapsedBeforeReaderChangeStayInUse(t *testing.T) {
+	t.Parallel()
+	d := newDeployment(t)
+	d.addZone(3)
+	d.store.SetFaults(edgeplatform.StoreFaults{Down: true})
+	d.waitUntil("all instances know of the outage", func() bool {
+		return !slices.ContainsFunc(d.daemons, func(daemon *Daemon) bool { return !daemon.tables.targets.State().Failing })
+	})
+	d.stops[0]()
+	for _, target := range d.plain {
+		d.store.Remove("servers", target.ID)
+	}
+	d.store.SetFaults(edgeplatform.StoreFaults{})
+	d.checkServed(d.daemons[1:], changeBound/2)
+}
+
+// checkServed calls a plain service at the daemons again and again for some time and fails the test unless each call is
+// served.
+func (d *deployment) checkServed(daemons []*Daemon, duration time.Duration) {
+	d.t.Helper()
+	end := time.Now().Add(duration)
 	for i := 0; time.Now().Before(end); i++ {
-		for _, daemon := range d.daemons {
-			id := fmt.Sprintf("lapsed-%s-%d", daemon.settings.Daemon, i)
+		for _, daemon := range daemons {
+			id := fmt.Sprintf("served-%s-%d", daemon.settings.Daemon, i)
 			if got := d.call(daemon, "GET", "/read/1", id, "key-1", ""); got.status != 200 {
-				t.Fatalf("request at %s: %+v", daemon.settings.Daemon, got)
+				d.t.Fatalf("request at %s: %+v", daemon.settings.Daemon, got)
 			}
 		}
 		time.Sleep(20 * time.Millisecond)
--- a/internal/loadshare/loadshare_test.go
+++ b/internal/loadshare/loadshare_test.go
@@ -221,6 +221,24 @@
 	waitUntil(t, "a change read by a member reaches another one", func() bool { _, found := tables[1].offered(20); return found })
 }
 
+// TestUrgentBatches guards against members that do not learn at once of a failed read of the reader, and against pushes of
+// confirmations alone.
+func TestUrgentBatches(t *testing.T) {
+	for name, test := range map[string]struct {
+		batch  *tablecache.Batch
+		urgent bool
+	}{
+		"nothing":      {nil, false},
+		"confirmation": {&tablecache.Batch{After: 2, Version: 3}, false},
+		"rows":         {&tablecache.Batch{Rows: []tablecache.Row{{Key: "key"}}}, true},
+		"failed read":  {&tablecache.Batch{FailingFor: time.Second}, true},
+	} {
+		if got := (TableBatches{Targets: test.batch}).isUrgent(); got != test.urgent {
+			t.Errorf("%s: urgent %v, want %v", name, got, test.urgent)
+		}
+	}
+}
+
 // TestReaderIsReplaced guards against a zone without a reader when the collector cannot read the store.
 func TestReaderIsReplaced(t *testing.T) {
 	store := &memberStore{}
--- a/internal/loadshare/message.go
+++ b/internal/loadshare/message.go
@@ -25,9 +25,12 @@
 	Configuration, Targets *tablecache.Batch
 }
 
-// hasRows reports whether any of the batches changes a table.
-func (b TableBatches) hasRows() bool {
-	return b.Configuration != nil && len(b.Configuration.Rows) > 0 || b.Targets != nil && len(b.Targets.Rows) > 0
+// isUrgent reports whether any of the batches changes a table or tells of failed reads, which the receiver must know in
+// case it becomes the reader.
+func (b TableBatches) isUrgent() bool { return isUrgent(b.Configuration) || isUrgent(b.Targets) }
+
+func isUrgent(batch *tablecache.Batch) bool {
+	return batch != nil && (len(batch.Rows) > 0 || batch.FailingFor > 0)
 }
 
 // pack encodes batches as compressed gob.
--- a/internal/loadshare/push.go
+++ b/internal/loadshare/push.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/hyssophoist/hyssophoist/core/loadshare"
-	"github.com/hyssophoist/hyssophoist/core/tablecache"
 )
 
 const pushCall = "LoadShare.Push"
@@ -31,7 +30,7 @@
 	return nil
 }
 
-// TablesChanged makes this instance pass on changes of the store's tables at once: to the members of its zone if it is
+// TablesChanged makes this instance pass on changes of the store's tables, or failed reads, at once: to the members of its zone if it is
 // the collector, else to the collector.
 func (s *Sharer) TablesChanged() {
 	select {
@@ -65,9 +64,9 @@
 		return
 	}
 	var calls sync.WaitGroup
-	for versions, members := range s.membersByVersions() {
-		batches := tables.News(versions.states())
-		if !batches.hasRows() {
+	for states, members := range s.membersByStates() {
+		batches := tables.News(states)
+		if !batches.isUrgent() {
 			continue
 		}
 		packed, err := batches.pack()
@@ -82,26 +81,16 @@
 	calls.Wait()
 }
 
-// tableVersions holds the versions of a member's copies; 0 if it has none.
-type tableVersions struct{ configuration, targets uint64 }
-
-// states returns the states of copies with these versions, which were just confirmed.
-func (v tableVersions) states() TableStates {
-	return TableStates{
-		Configuration: tablecache.State{Loaded: v.configuration > 0, Version: v.configuration},
-		Targets:       tablecache.State{Loaded: v.targets > 0, Version: v.targets},
-	}
-}
-
-// membersByVersions groups the members in contact by the versions that they have as far as this instance knows.
-func (s *Sharer) membersByVersions() map[tableVersions][]loadshare.Member {
+// membersByStates groups the members in contact by the states of their copies as far as this instance knows. The age of a
+// copy is left out, since confirmations alone are not pushed.
+func (s *Sharer) membersByStates() map[TableStates][]loadshare.Member {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	groups := make(map[tableVersions][]loadshare.Member)
+	groups := make(map[TableStates][]loadshare.Member)
 	for _, member := range s.table.InContact(time.Now()) {
 		if states, known := s.memberStates[member.ID]; known {
-			versions := tableVersions{states.Configuration.Version, states.Targets.Version}
-			groups[versions] = append(groups[versions], member)
+			states.Configuration.Age, states.Targets.Age = 0, 0
+			groups[states] = append(groups[states], member)
 		}
 	}
 	return groups
