--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -431,7 +431,7 @@
 	if result == resultOK {
 		log.Routine("request ended", fields...)
 	} else {
-		log.Event("request ended", fields...)
+		log.Event("request ended", append(fields, "parts", strings.Join(q.PromptParts, ","))...)
 	}
 	if q.gateway.options.OnRequestEnd != nil {
 		q.gateway.options.OnRequestEnd(kind, result, duration)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -350,7 +350,8 @@
 		s.recordFault("", err.Error())
 	}
 	log.Event("stream interrupted", "request", s.ID, "events", s.events, "lastEvent", s.lastEventID,
-		"path", formatPath(s.currentPath()), "reason", s.lastErr.Error(), "resume", s.mayRunAgain())
+		"path", formatPath(s.currentPath()), "reason", s.lastErr.Error(), "resume", s.mayRunAgain(),
+		"parts", strings.Join(s.PromptParts, ","))
 	return false, s.mayRunAgain()
 }
 
--- a/internal/gateway/types.go
+++ b/internal/gateway/types.go
@@ -20,6 +20,9 @@
 	// PromptTokens and MaxTokens are the prompt length and the output limit of a generation; ExpectedTokens is the
 	// caller's estimate of the output length, 0 if it gives none.
 	PromptTokens, MaxTokens, ExpectedTokens int
+	// PromptParts holds the ids of the parts of a generation's prompt in order. Other calls may share any of them but
+	// the last, which belongs to this call or its session.
+	PromptParts []string
 	// LastEventID is the id of the last event that the caller has received, -1 if it requests the stream from its
 	// start.
 	LastEventID int64
