--- a/internal/emulator/edgeplatform/target.go
+++ b/internal/emulator/edgeplatform/target.go
@@ -13,8 +13,12 @@
 	"time"
 )
 
-// eventInterval is the time between two events of a stream.
-const eventInterval = 5 * time.Millisecond
+const (
+	// eventInterval is the time between two events of a stream.
+	eventInterval = 5 * time.Millisecond
+	// crashTime is how long a target is down after a crash.
+	crashTime = 100 * time.Millisecond
+)
 
 // TargetFaults are the faults of a Target.
 type TargetFaults struct {
@@ -49,6 +53,9 @@
 	// EndlessHead and EndlessBody make responses of plain services go on until the other side closes the connection, in
 	// a line of the head or in the body.
 	EndlessHead, EndlessBody bool
+	// CrashOnPart makes the target crash when it begins to answer a stream whose prompt has this part. It is then down for
+	// crashTime, and comes back as a new process that holds its layers, so that tests need not wait for orders.
+	CrashOnPart string
 	// FailStatus is the status of responses of plain services; 200 if 0.
 	FailStatus int
 }
@@ -94,6 +101,9 @@
 	endlessBytes int64
 	// reroutes holds the new paths of all accepted reroutes.
 	reroutes []string
+	// crashes counts the crashes because of CrashOnPart. The target is down until downUntil.
+	crashes   int
+	downUntil time.Time
 }
 
 // NewTarget starts a target. Call Close to stop it.
@@ -106,7 +116,7 @@
 	mux.HandleFunc("GET /api/report", t.report)
 	mux.HandleFunc("POST /api/order", t.order)
 	mux.HandleFunc("/", t.serve)
-	t.server = httptest.NewServer(mux)
+	t.server = httptest.NewServer(t.abortWhileDown(mux))
 	t.advertised = t.server.Listener.Addr().String()
 	return t
 }
@@ -136,6 +146,50 @@
 	t.from, t.to, t.orderCount = 0, 0, 0
 }
 
+// abortWhileDown closes the connections of requests that arrive while the target is down.
+func (t *Target) abortWhileDown(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if t.Down() {
+			panic(http.ErrAbortHandler)
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// Down reports whether the target is down after a crash.
+func (t *Target) Down() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return time.Now().Before(t.downUntil)
+}
+
+// Crashes returns the number of crashes because of TargetFaults.CrashOnPart.
+func (t *Target) Crashes() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.crashes
+}
+
+// crash closes all connections and takes the target down for crashTime.
+func (t *Target) crash() {
+	t.mu.Lock()
+	t.born++
+	t.crashes++
+	t.downUntil = time.Now().Add(crashTime)
+	t.mu.Unlock()
+	t.server.CloseClientConnections()
+}
+
+// hasPart reports whether the prompt of a request has a part with the given id.
+func hasPart(r *http.Request, id string) bool {
+	for entry := range strings.SplitSeq(r.Header.Get("X-Prefix-Hash"), ",") {
+		if name, _, _ := strings.Cut(entry, ":"); name == id {
+			return true
+		}
+	}
+	return false
+}
+
 // Arrival is a request that a target has received, whether it ran or not.
 type Arrival struct {
 	RequestID string
@@ -427,6 +481,10 @@
 	w.Header().Set("X-Server-Stamp", "stamp-"+t.ID)
 	w.WriteHeader(http.StatusOK)
 	control := http.NewResponseController(w)
+	if faults.CrashOnPart != "" && hasPart(r, faults.CrashOnPart) {
+		t.crash()
+		panic(http.ErrAbortHandler)
+	}
 	for i := first; i < t.Events; i++ {
 		sent := i - first
 		if faults.WaitFor != "" && sent == faults.StallAfter && strings.Contains(r.Header.Get("X-Hops"), faults.WaitFor+"=") {
