Tell other instances of a crash at once

Change: a crash that was not known makes an instance start an exchange at once, and a collector that hears of one too. Result: TestNewsEnds guards against messages without end.

--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -83,6 +83,14 @@
 	Until   time.Time
 }
 
+// Outcome is what new evidence has changed.
+type Outcome struct {
+	// News reports whether there is a crash that was not known, which other instances should learn of soon.
+	News bool
+	// Verdicts holds the quarantines that begin or end.
+	Verdicts []Verdict
+}
+
 // crash is the crash of one process of an engine.
 type crash struct {
 	engine string
@@ -141,53 +149,55 @@
 }
 
 // RecordCrash records that a process of an engine crashed while a request with the prompt was at it that had got no
-// event. It returns the quarantines that begin or end with it.
-func (t *Table) RecordCrash(now time.Time, prompt []string, engine string) []Verdict {
-	return t.change(now, candidates(prompt), func(i int, p *part) {
+// event.
+func (t *Table) RecordCrash(now time.Time, prompt []string, engine string) Outcome {
+	return t.change(now, candidates(prompt), func(i int, p *part) (news bool) {
 		p.first = p.first || i == 0
-		p.addCrash(crash{engine, now})
+		return p.addCrash(crash{engine, now})
 	})
 }
 
-// RecordServed records that a request with the prompt has got an event, which clears its parts. It returns the quarantines
-// that begin or end with it.
-func (t *Table) RecordServed(now time.Time, prompt []string) []Verdict {
-	return t.change(now, candidates(prompt), func(_ int, p *part) { p.addService(now, now) })
+// RecordServed records that a request with the prompt has got an event, which clears its parts.
+func (t *Table) RecordServed(now time.Time, prompt []string) Outcome {
+	return t.change(now, candidates(prompt), func(_ int, p *part) (news bool) {
+		p.addService(now, now)
+		return false
+	})
 }
 
-// Merge adds the evidence of another instance. It returns the quarantines that begin or end with it.
-func (t *Table) Merge(now time.Time, evidence []Evidence) []Verdict {
+// Merge adds the evidence of another instance.
+func (t *Table) Merge(now time.Time, evidence []Evidence) Outcome {
 	evidence = evidence[:min(len(evidence), maxSharedParts)]
 	ids := make([]string, len(evidence))
 	for i, e := range evidence {
 		ids[i] = e.Part
 	}
-	return t.change(now, ids, func(i int, p *part) { p.merge(now, evidence[i]) })
+	return t.change(now, ids, func(i int, p *part) (news bool) { return p.merge(now, evidence[i]) })
 }
 
-func (p *part) merge(now time.Time, e Evidence) {
+func (p *part) merge(now time.Time, e Evidence) (news bool) {
 	p.first = p.first || e.First
 	if e.Served {
 		p.addService(now, now.Add(-e.ServedAge))
 	}
 	for _, report := range e.Crashes[:min(len(e.Crashes), maxSharedCrashes)] {
 		if at := now.Add(-report.Age); at.After(p.servedAt) {
-			p.addCrash(crash{report.Engine, at})
+			news = p.addCrash(crash{report.Engine, at}) || news
 		} else {
 			p.contestedAt = now
 		}
 	}
+	return news
 }
 
-// change applies a change to each of the parts, which gets the index of the part, and returns the quarantines that begin
-// or end with it.
-func (t *Table) change(now time.Time, ids []string, apply func(int, *part)) (verdicts []Verdict) {
+// change applies a change to each of the parts. The change gets the index of the part and reports whether there was news.
+func (t *Table) change(now time.Time, ids []string, apply func(int, *part) (news bool)) (outcome Outcome) {
 	before := t.quarantined(now)
 	relevant := false
 	for i, id := range ids {
 		p := t.get(id)
 		count := p.count()
-		apply(i, p)
+		outcome.News = apply(i, p) || outcome.News
 		relevant = relevant || max(count, p.count()) >= minCrashes
 		if p.isNotable(now) {
 			t.notable[id] = p
@@ -196,23 +206,23 @@
 		}
 	}
 	if !relevant {
-		return nil
+		return outcome
 	}
 	t.blame()
 	after := t.quarantined(now)
 	for _, other := range before {
 		if !slices.Contains(after, other) {
-			verdicts = append(verdicts, Verdict{Part: other.id})
+			outcome.Verdicts = append(outcome.Verdicts, Verdict{Part: other.id})
 		}
 	}
 	for _, other := range after {
 		if !slices.Contains(before, other) {
-			verdicts = append(verdicts, Verdict{
+			outcome.Verdicts = append(outcome.Verdicts, Verdict{
 				Part: other.id, Quarantined: true, Crashes: t.blamed[other], Until: t.until(other),
 			})
 		}
 	}
-	return verdicts
+	return outcome
 }
 
 // blame finds the parts that are to blame for crashes: first those at most crashes, first parts of prompts last. A part is
@@ -251,19 +261,21 @@
 	return 0
 }
 
-// addCrash adds a crash of a process that is not known yet. Reports that have come through several instances are late.
-func (p *part) addCrash(c crash) {
+// addCrash adds a crash of a process unless it is known. Reports that have come through several instances are late.
+func (p *part) addCrash(c crash) (news bool) {
 	if i := slices.IndexFunc(p.crashes, func(known crash) bool { return known.engine == c.engine }); i >= 0 {
 		if c.at.Before(p.crashes[i].at) {
 			p.crashes[i].at = c.at
 		}
 	} else {
 		p.crashes = append(p.crashes, c)
+		news = true
 	}
 	slices.SortFunc(p.crashes, func(a, b crash) int { return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.engine, b.engine)) })
 	if surplus := len(p.crashes) - maxCrashesPerPart; surplus > 0 {
 		p.crashes = p.crashes[surplus:]
 	}
+	return news
 }
 
 // addService drops the crashes before a service at the given time.
--- a/core/quarantine/quarantine_test.go
+++ b/core/quarantine/quarantine_test.go
@@ -105,7 +105,7 @@
 		if i == 3 {
 			parts = []string{"first", "own"} // at a crash of another cause
 		}
-		for _, verdict := range table.RecordCrash(at(time.Duration(i)*time.Second), parts, fmt.Sprint("engine-", i)) {
+		for _, verdict := range table.RecordCrash(at(time.Duration(i)*time.Second), parts, fmt.Sprint("engine-", i)).Verdicts {
 			blamed = append(blamed, verdict.Part)
 		}
 	}
@@ -150,7 +150,7 @@
 	if got := quarantinedFor(table, again); got != 2*minDuration {
 		t.Errorf("the second quarantine lasts %v, want %v", got, 2*minDuration)
 	}
-	verdicts := table.RecordServed(at(again+time.Second), prompt(101))
+	verdicts := table.RecordServed(at(again+time.Second), prompt(101)).Verdicts
 	if len(verdicts) != 1 || verdicts[0].Quarantined || verdicts[0].Part != "p" {
 		t.Errorf("verdicts after a service: %+v", verdicts)
 	}
@@ -167,7 +167,7 @@
 		table := New(func() float64 { return float64(i) / 10 })
 		verdicts := table.Merge(start, []Evidence{{Part: "p", Crashes: []CrashReport{
 			{Engine: "a", Age: 3 * time.Second}, {Engine: "b", Age: 2 * time.Second}, {Engine: "c", Age: time.Second},
-		}}})
+		}}}).Verdicts
 		if len(verdicts) != 1 || !verdicts[0].Quarantined {
 			t.Fatalf("verdicts %+v", verdicts)
 		}
@@ -215,6 +215,23 @@
 	}
 }
 
+// TestNewsEnds guards against instances that go on telling each other at once of the same crash.
+func TestNewsEnds(t *testing.T) {
+	a, b := New(noDelay), New(noDelay)
+	if !a.RecordCrash(start, prompt(1), "engine-1").News {
+		t.Error("a crash is no news")
+	}
+	if a.RecordCrash(start, prompt(2), "engine-1").News {
+		t.Error("another request at the same crash is news")
+	}
+	if !b.Merge(start, a.Evidence(start)).News {
+		t.Error("a crash that another instance tells of is no news")
+	}
+	if b.Merge(start, a.Evidence(start)).News || a.Merge(start, b.Evidence(start)).News {
+		t.Error("a crash that is known is news")
+	}
+}
+
 // TestServiceContradictsCrash guards against an instance that goes on suspecting a part because the one that has served it
 // meanwhile does not say so.
 func TestServiceContradictsCrash(t *testing.T) {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -125,6 +125,7 @@
 	t *tables, p *placer.Placer, sharer *loadshare.Sharer, m *Metrics) *Daemon {
 	m.registerTables(t)
 	m.registerQuarantine(g)
+	g.OnCrash(sharer.Announce)
 	d := &Daemon{
 		settings: s, gateway: g, pool: pool, store: store, tables: t, placer: p, sharer: sharer, metrics: m,
 	}
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -30,12 +30,16 @@
 		return false
 	}
 	g.mu.Lock()
-	verdicts := g.quarantine.Merge(boottime.Now(), evidence)
+	outcome := g.quarantine.Merge(boottime.Now(), evidence)
 	g.mu.Unlock()
-	logVerdicts(verdicts, "")
-	return len(verdicts) > 0
+	logVerdicts(outcome.Verdicts, "")
+	return outcome.News
 }
 
+// OnCrash sets a function that is called when requests of this instance have shown that an engine has crashed. It must be
+// called before the gateway serves.
+func (g *Gateway) OnCrash(f func()) { g.onCrash = f }
+
 // QuarantinedParts returns the number of parts of prompts that are quarantined.
 func (g *Gateway) QuarantinedParts() int {
 	g.mu.Lock()
@@ -84,9 +88,9 @@
 // recordServed records that the stream has got its first event.
 func (s *stream) recordServed() {
 	s.gateway.mu.Lock()
-	verdicts := s.gateway.quarantine.RecordServed(boottime.Now(), s.PromptParts)
+	outcome := s.gateway.quarantine.RecordServed(boottime.Now(), s.PromptParts)
 	s.gateway.mu.Unlock()
-	logVerdicts(verdicts, s.ID)
+	logVerdicts(outcome.Verdicts, s.ID)
 }
 
 // recordCrash records that the first engine of the path has crashed if the connection to it broke off before the stream
@@ -101,11 +105,14 @@
 	}
 	s.gateway.mu.Lock()
 	process := string(engine.ID) + "/" + strconv.FormatInt(engine.Born, 10)
-	verdicts := s.gateway.quarantine.RecordCrash(boottime.Now(), s.PromptParts, process)
+	outcome := s.gateway.quarantine.RecordCrash(boottime.Now(), s.PromptParts, process)
 	s.gateway.mu.Unlock()
 	log.Event("engine crashed before the first event", "target", engine.ID, "born", engine.Born, "request", s.ID,
 		"parts", strings.Join(s.PromptParts, ","))
-	logVerdicts(verdicts, s.ID)
+	logVerdicts(outcome.Verdicts, s.ID)
+	if outcome.News && s.gateway.onCrash != nil {
+		s.gateway.onCrash()
+	}
 }
 
 // closedByTarget reports whether the error of an exchange means that the target closed the connection.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -79,6 +79,8 @@
 	configuration atomic.Pointer[routing.Configuration]
 	draining      atomic.Bool
 	bodies        bodyBudget
+	// onCrash is set by OnCrash; it can be nil.
+	onCrash func()
 
 	mu         sync.Mutex
 	dispatcher *dispatch.Dispatcher
--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -45,7 +45,7 @@
 	// reports whether this instance is the collector of its zone.
 	SetOtherLoads(loads loadshare.Loads, instances loadshare.Instances, collector bool)
 	// CrashEvidence returns what this instance knows of requests that crash engines. MergeCrashEvidence adds what
-	// another one knows, and reports whether that changes which requests are refused.
+	// another one knows, and reports whether that has crashes that this one did not know of.
 	CrashEvidence() []quarantine.Evidence
 	MergeCrashEvidence(evidence []quarantine.Evidence) (news bool)
 }
@@ -184,8 +184,7 @@
 	return nil
 }
 
-// exchangeCrashes merges the crash evidence of another instance and returns that of this one. Evidence that makes this
-// instance refuse requests is passed on at once.
+// exchangeCrashes merges the crash evidence of another instance and returns that of this one. News is passed on at once.
 func (s *Sharer) exchangeCrashes(evidence []quarantine.Evidence) []quarantine.Evidence {
 	if s.options.View.MergeCrashEvidence(evidence) {
 		s.Announce()
