Cancel attempts that wait at engines when their part is quarantined

Cause: requests that had been sent before the verdict went on to crash the engines at which they waited, 0.2 to 0.8 s later. Change: a verdict cancels the attempts of this instance with a quarantined part that have got no event; engines drop requests whose connection closes. Their callers get outcome_unknown, since the requests may have begun to run.

--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"slices"
 	"strconv"
 	"strings"
 	"syscall"
@@ -32,7 +33,7 @@
 	g.mu.Lock()
 	outcome := g.quarantine.Merge(boottime.Now(), evidence)
 	g.mu.Unlock()
-	logVerdicts(outcome.Verdicts, "")
+	g.applyVerdicts(outcome.Verdicts, "")
 	return outcome.News
 }
 
@@ -54,8 +55,9 @@
 	g.quarantine.Tick(boottime.Now())
 }
 
-// logVerdicts logs the verdicts after a request of this instance, or after a message of another one if requestID is empty.
-func logVerdicts(verdicts []quarantine.Verdict, requestID string) {
+// applyVerdicts logs the verdicts after a request of this instance, or after a message of another one if requestID is empty,
+// and cancels the attempts that they concern.
+func (g *Gateway) applyVerdicts(verdicts []quarantine.Verdict, requestID string) {
 	for _, v := range verdicts {
 		if v.Quarantined {
 			log.Event("prompt part quarantined", "part", v.Part, "crashes", v.Crashes, "request", requestID,
@@ -64,6 +66,25 @@
 			log.Event("prompt part no longer quarantined", "part", v.Part, "request", requestID)
 		}
 	}
+	if slices.ContainsFunc(verdicts, func(v quarantine.Verdict) bool { return v.Quarantined }) {
+		g.cancelQuarantined()
+	}
+}
+
+// cancelQuarantined cancels the attempts with a quarantined part that have got no event: their engines may not have begun
+// to answer, and then do not crash.
+func (g *Gateway) cancelQuarantined() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for s := range g.streams {
+		if s.eventForwarded.Load() {
+			continue
+		}
+		if part, found := g.quarantine.Quarantined(boottime.Now(), s.PromptParts); found {
+			log.Event("attempt cancelled", "request", s.ID, "part", part, "path", formatPath(s.path))
+			s.cancelAttempt()
+		}
+	}
 }
 
 // quarantined reports whether the request has a part that is quarantined, so that it must not be sent.
@@ -90,7 +111,7 @@
 	s.gateway.mu.Lock()
 	outcome := s.gateway.quarantine.RecordServed(boottime.Now(), s.PromptParts)
 	s.gateway.mu.Unlock()
-	logVerdicts(outcome.Verdicts, s.ID)
+	s.gateway.applyVerdicts(outcome.Verdicts, s.ID)
 }
 
 // recordCrash records that the first engine of the path has crashed if the connection to it broke off before the stream
@@ -109,7 +130,7 @@
 	s.gateway.mu.Unlock()
 	log.Event("engine crashed before the first event", "target", engine.ID, "born", engine.Born, "request", s.ID,
 		"parts", strings.Join(s.PromptParts, ","))
-	logVerdicts(outcome.Verdicts, s.ID)
+	s.gateway.applyVerdicts(outcome.Verdicts, s.ID)
 	if outcome.News && s.gateway.onCrash != nil {
 		s.gateway.onCrash()
 	}
--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -7,9 +7,11 @@
 	"io"
 	"net"
 	"testing"
+	"time"
 
 	"github.com/hyssophoist/hyssophoist/core/entity"
 	"github.com/hyssophoist/hyssophoist/core/fleet"
+	"github.com/hyssophoist/hyssophoist/core/quarantine"
 )
 
 // restartedEngines returns reports of a later process than the one that requests were sent to.
@@ -65,3 +67,29 @@
 		t.Error("the report from before the crash was used")
 	}
 }
+
+// TestQuarantineCancelsAttempts guards against attempts that crash further engines although the part that does so is known
+// by then, and against the loss of streams that have got events.
+func TestQuarantineCancelsAttempts(t *testing.T) {
+	g := New(Options{Engines: &fakeEngines{}})
+	cancelled := make(map[string]bool)
+	add := func(id string, events bool, parts ...string) {
+		s := addStream(g, id, 0, pathThrough("e", "f"))
+		s.PromptParts = parts
+		s.eventForwarded.Store(events)
+		s.cancelAttempt = func() { cancelled[id] = true }
+	}
+	add("waiting", false, "first", "deadly", "last")
+	add("running", true, "first", "deadly", "last")
+	add("sound", false, "first", "middle", "last")
+	evidence := quarantine.Evidence{Part: "deadly"}
+	for i := range 3 {
+		evidence.Crashes = append(evidence.Crashes, quarantine.CrashReport{
+			Engine: fmt.Sprint("engine-", i), Age: time.Duration(3-i) * time.Second,
+		})
+	}
+	g.MergeCrashEvidence([]quarantine.Evidence{evidence})
+	if !cancelled["waiting"] || cancelled["running"] || cancelled["sound"] {
+		t.Errorf("cancelled %v", cancelled)
+	}
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -41,11 +41,12 @@
 type stream struct {
 	*request
 	size dispatch.GenerationSize
-	// avoid holds the engines that failed or refused this stream, path and attemptCtx are the path and the context of
-	// the attempt in progress. They are guarded by gateway.mu.
-	avoid      map[entity.TargetID]bool
-	path       *dispatch.Path
-	attemptCtx context.Context
+	// avoid holds the engines that failed or refused this stream; path, attemptCtx and cancelAttempt are the path and the
+	// context of the attempt in progress. They are guarded by gateway.mu.
+	avoid         map[entity.TargetID]bool
+	path          *dispatch.Path
+	attemptCtx    context.Context
+	cancelAttempt context.CancelFunc
 	// reroutes counts the reroutes of the stream; rerouteMu is held during each.
 	reroutes  atomic.Int32
 	rerouteMu sync.Mutex
@@ -134,7 +135,7 @@
 	s.resumable = s.route.Repeatable() && s.runs+1 < s.route.MaxAttempts
 	attemptCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	s.register(attemptCtx)
+	s.register(attemptCtx, cancel)
 	s.watchdog = s.gateway.inspector.watch(attemptCtx, watchedAttempt{
 		requestID: s.ID, targets: s.targets, targetsWithoutProgress: s.targetsWithoutProgress,
 		stallTimeout: s.stallTimeout, reroute: s.reroute, cancel: cancel,
@@ -197,10 +198,10 @@
 }
 
 // register adds the stream to gateway.streams, where RerouteFromUnloadingEngine finds its attempt, until release.
-func (s *stream) register(ctx context.Context) {
+func (s *stream) register(ctx context.Context, cancel context.CancelFunc) {
 	s.gateway.mu.Lock()
 	defer s.gateway.mu.Unlock()
-	s.attemptCtx = ctx
+	s.attemptCtx, s.cancelAttempt = ctx, cancel
 	s.gateway.streams[s] = struct{}{}
 }
 
