Give the daemons of the TLS test addresses that no other process takes

The test looked for a free port and released it before the daemon listened on it; any outgoing connection of the machine can take such a port in between. Change: the daemons get loopback addresses of the block that this test process has reserved, with the port of peers, which is not one of those that are given to outgoing connections; the certificate names them.

--- a/internal/certs/certtest/certtest.go
+++ b/internal/certs/certtest/certtest.go
@@ -17,8 +17,9 @@
 	"github.com/hyssophoist/hyssophoist/internal/settings"
 )
 
-// WritePair writes a self-signed CA certificate for 127.0.0.1 with the given serial number, and its key.
-func WritePair(t *testing.T, files settings.TLS, serial int64) {
+// WritePair writes a self-signed CA certificate for 127.0.0.1 and the given addresses with the given serial number, and its
+// key.
+func WritePair(t *testing.T, files settings.TLS, serial int64, addresses ...string) {
 	t.Helper()
 	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
 	if err != nil {
@@ -29,6 +30,9 @@
 		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
 		IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)}, IsCA: true, BasicConstraintsValid: true,
 	}
+	for _, address := range addresses {
+		template.IPAddresses = append(template.IPAddresses, net.ParseIP(address))
+	}
 	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
 	if err != nil {
 		t.Fatal(err)
--- a/test/fleet.go
+++ b/test/fleet.go
@@ -89,6 +89,15 @@
 	panic("no block of loopback addresses is free")
 })
 
+// reserveAddresses returns loopback addresses that no other test uses.
+func reserveAddresses(count int) (addresses []string) {
+	block, number := reserveAddressBlock().number, fleetCount.Add(1)
+	for host := 1; host <= count; host++ {
+		addresses = append(addresses, fmt.Sprintf("127.%d.%d.%d", block, number, host))
+	}
+	return addresses
+}
+
 // deployFleet starts a platform, a service and the engines, with proxies in front of the targets, and as many daemons
 // as zones gives for each zone. The name of a daemon is its zone and a number from 1.
 func deployFleet(t *testing.T, engines []engineSpec, zones map[string]int) *fleet {
@@ -112,16 +121,10 @@
 	f.addTarget(entity.Target{
 		ID: "ledger-1", Kind: entity.ServiceTarget, Service: "ledger", ChecksFencing: checksFencing,
 	}, f.service)
-	block := reserveAddressBlock().number
-	number := fleetCount.Add(1)
-	host := 0
+	addresses := reserveAddresses(zones["a"] + zones["b"] + zones["c"])
 	for _, zone := range []string{"a", "b", "c"} {
 		for i := range zones[zone] {
-			host++
-			m := &member{
-				fleet: f, name: fmt.Sprintf("%s%d", zone, i+1), zone: zone,
-				ip: fmt.Sprintf("127.%d.%d.%d", block, number, host),
-			}
+			m := &member{fleet: f, name: fmt.Sprintf("%s%d", zone, i+1), zone: zone, ip: addresses[len(f.members)]}
 			m.platformProxy = f.newProxy(f.platform.address(0))
 			m.inbound = f.newProxy(m.peerAddress())
 			f.members = append(f.members, m)
--- a/test/tls_test.go
+++ b/test/tls_test.go
@@ -4,7 +4,7 @@
 	"crypto/tls"
 	"crypto/x509"
 	"encoding/json"
-	"net"
+	"fmt"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -24,7 +24,8 @@
 	f := deployFleet(t, nil, nil)
 	directory := t.TempDir()
 	peerTLS := settings.TLS{CertFile: filepath.Join(directory, "cert.pem"), KeyFile: filepath.Join(directory, "key.pem")}
-	certtest.WritePair(t, peerTLS, 1)
+	peers := reserveAddresses(2)
+	certtest.WritePair(t, peerTLS, 1, peers...)
 	certificate, err := os.ReadFile(peerTLS.CertFile)
 	if err != nil {
 		t.Fatal(err)
@@ -34,7 +35,9 @@
 	client := &http.Client{Transport: &http.Transport{TLSClientConfig: &tls.Config{RootCAs: roots}}}
 	presetFile := filepath.Join(directory, "preset.json")
 	writeJSON(t, presetFile, f.preset)
-	peers := []string{freeAddress(t), freeAddress(t)}
+	for i := range peers {
+		peers[i] = fmt.Sprintf("%s:%d", peers[i], peerPort)
+	}
 	platformProxy := f.newProxy(f.platform.address(0))
 	peerTLS.ClientCAFile = peerTLS.CertFile
 	publicTLS := peerTLS
@@ -102,14 +105,3 @@
 		return json.NewDecoder(response.Body).Decode(&status) == nil && status.Version == 2
 	})
 }
-
-// freeAddress returns a loopback address with a port that is free at the time of the call.
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer listener.Close()
-	return listener.Addr().String()
-}
