Do not send pushed changes back to the collector

A member did not record that the collector has what it pushed, so its next message took the pushed rows for news and sent them back; an outage went back and forth in the same way, later each time. Change: a push updates what the member knows of the collector's copies. Result: TestPushedChangesAreNotSentBack failed before (the row was sent back) and passes.

--- a/internal/loadshare/loadshare_test.go
+++ b/internal/loadshare/loadshare_test.go
@@ -260,6 +260,33 @@
 	waitUntil(t, "a change read by a member reaches another one", func() bool { _, found := tables[1].offered(20); return found })
 }
 
+// TestPushedChangesAreNotSentBack guards against members that send the changes that the collector has pushed to them back to
+// it, which is work and traffic at the collector that grows with members times changes.
+func TestPushedChangesAreNotSentBack(t *testing.T) {
+	tables := newFakeTables(1)
+	collector := newMember("c")
+	s := New(Options{Self: newMember("m"), View: fakeView{}, Table: &memberStore{}, Tables: tables})
+	states := newFakeTables(1).States()
+	s.collectorID, s.collectorStates = collector.ID, &states
+	pushed, err := newFakeTables(2).Since(states).pack()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := s.handlePush(&PushArgs{From: collector, Packed: pushed}, &PushReply{}); err != nil {
+		t.Fatal(err)
+	}
+	if _, found := tables.offered(2); !found {
+		t.Fatal("the change was not applied")
+	}
+	if args := s.shareArgs(collector, 2); args.Batches.isUrgent() {
+		t.Errorf("the next message has %+v", *args.Batches.Configuration)
+	}
+	tables.read(3)
+	if args := s.shareArgs(collector, 2); !args.Batches.isUrgent() {
+		t.Error("a change that the member has read is not passed on")
+	}
+}
+
 // TestCrashEvidenceReachesAllInstances guards against instances that each have to see crashes of their own before they refuse
 // the requests that cause them, and against restarted ones that do not learn of earlier crashes.
 func TestCrashEvidenceReachesAllInstances(t *testing.T) {
--- a/internal/loadshare/push.go
+++ b/internal/loadshare/push.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/hyssophoist/hyssophoist/core/loadshare"
+	"github.com/hyssophoist/hyssophoist/core/tablecache"
 )
 
 const pushCall = "LoadShare.Push"
@@ -27,9 +28,22 @@
 	}
 	tables.Offer(batches)
 	reply.States = tables.States()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.collectorID == args.From.ID && s.collectorStates != nil {
+		recordSent(batches.Configuration, &s.collectorStates.Configuration)
+		recordSent(batches.Targets, &s.collectorStates.Targets)
+	}
 	return nil
 }
 
+// recordSent updates the state of another instance's copy by a batch that it has sent.
+func recordSent(batch *tablecache.Batch, state *tablecache.State) {
+	if batch != nil && batch.Version >= state.Version {
+		*state = tablecache.State{Loaded: true, Version: batch.Version, Age: batch.Age, Failing: batch.FailingFor > 0}
+	}
+}
+
 // TablesChanged makes this instance pass on changes of the store's tables, or failed reads, at once: to the members of its zone if it is
 // the collector, else to the collector.
 func (s *Sharer) TablesChanged() {
