Sort the members of a zone only where their order matters

Cause: the collector, its rank and the rank of a member were found by sorting all members, ten times a second in each placer, and Members sorted what upMembers had sorted. Change: upMembers leaves the order open; the collector is the least member, the rank a count. No change of behaviour.

--- a/core/loadshare/loadshare.go
+++ b/core/loadshare/loadshare.go
@@ -146,7 +146,7 @@
 	return members
 }
 
-// upMembers returns the other instances of a zone that are not down, in the order of compareMembers.
+// upMembers returns the other instances of a zone that are not down, in no particular order.
 func (t *Table) upMembers(now time.Time, zone entity.ZoneID) []Member {
 	var members []Member
 	for _, m := range t.members {
@@ -154,12 +154,13 @@
 			members = append(members, m.Member)
 		}
 	}
-	slices.SortFunc(members, compareMembers)
 	return members
 }
 
 // Collector returns the collector of this instance's zone, which may be this instance.
-func (t *Table) Collector(now time.Time) Member { return t.Members(now)[0] }
+func (t *Table) Collector(now time.Time) Member {
+	return slices.MinFunc(append(t.upMembers(now, t.self.Zone), t.self), compareMembers)
+}
 
 // Reader returns the member that follows the tables of the store for this instance's zone: the first one in contact
 // that can read the store, beginning with this instance, the collector. ownReadsFailing reports whether this one
@@ -186,7 +187,7 @@
 		}
 		seen[m.Zone] = true
 		if members := t.upMembers(now, m.Zone); len(members) > 0 {
-			collectors = append(collectors, members[0])
+			collectors = append(collectors, slices.MinFunc(members, compareMembers))
 		}
 	}
 	slices.SortFunc(collectors, func(a, b Member) int { return cmp.Compare(a.ID, b.ID) })
@@ -194,8 +195,13 @@
 }
 
 // Rank returns the number of members of this instance's zone that are not down and come before it.
-func (t *Table) Rank(now time.Time) int {
-	return slices.IndexFunc(t.Members(now), func(m Member) bool { return m.ID == t.self.ID })
+func (t *Table) Rank(now time.Time) (rank int) {
+	for _, m := range t.upMembers(now, t.self.Zone) {
+		if compareMembers(m, t.self) < 0 {
+			rank++
+		}
+	}
+	return rank
 }
 
 // CollectorRank returns the number of collectors of other zones with a lower ID than this instance. It reports false if
@@ -262,10 +268,14 @@
 // number of members asks for the loads of the others.
 func PeriodsBetweenLoads(members int) int { return min(maxPeriods, 1+members/membersPerPeriod) }
 
-// InContact returns the other members of this instance's zone whose loads still count according to loadTTL.
+// InContact returns the other members of this instance's zone whose loads still count according to loadTTL, in the order of
+// compareMembers.
 func (t *Table) InContact(now time.Time) []Member {
-	members := t.upMembers(now, t.self.Zone)
-	return slices.DeleteFunc(members, func(m Member) bool { return now.Sub(t.members[m.ID].lastContact) >= loadTTL })
+	members := slices.DeleteFunc(t.upMembers(now, t.self.Zone), func(m Member) bool {
+		return now.Sub(t.members[m.ID].lastContact) >= loadTTL
+	})
+	slices.SortFunc(members, compareMembers)
+	return members
 }
 
 // SetZoneLoads stores the load sum and the number of instances of another zone.
