Limit concurrent orders by errgroup and show the memory of bodies

Change: sendOrders uses errgroup.SetLimit; the memory of buffered bodies and its limit are metrics. No change of behaviour.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -124,7 +124,7 @@
 func newDaemon(lifecycle fx.Lifecycle, s *settings.Edge, g *gateway.Gateway, pool *connpool.Pool, store *platform.Store,
 	t *tables, p *placer.Placer, sharer *loadshare.Sharer, m *Metrics) *Daemon {
 	m.registerTables(t)
-	m.registerQuarantine(g)
+	m.registerGateway(g)
 	g.OnCrash(sharer.Announce)
 	d := &Daemon{
 		settings: s, gateway: g, pool: pool, store: store, tables: t, placer: p, sharer: sharer, metrics: m,
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -80,11 +80,19 @@
 	}
 }
 
-// registerQuarantine adds a metric of the parts of prompts that this instance refuses.
-func (m *Metrics) registerQuarantine(g *gateway.Gateway) {
-	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
-		Name: "hyssophoist_edge_quarantined_parts", Help: "Parts of prompts that are refused because they crash engines.",
-	}, func() float64 { return float64(g.QuarantinedParts()) }))
+// registerGateway adds metrics of the state of the gateway.
+func (m *Metrics) registerGateway(g *gateway.Gateway) {
+	m.registry.MustRegister(
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "hyssophoist_edge_quarantined_parts", Help: "Parts of prompts that are refused because they crash engines.",
+		}, func() float64 { return float64(g.QuarantinedParts()) }),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "hyssophoist_edge_body_bytes", Help: "Bytes of response bodies that are buffered.",
+		}, func() float64 { return float64(g.BodyMemoryUsed()) }),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "hyssophoist_edge_body_limit_bytes", Help: "Limit of the bytes of response bodies that are buffered.",
+		}, func() float64 { return float64(g.BodyMemoryLimit()) }),
+	)
 }
 
 func (m *Metrics) observeRequest(kind, result string, duration time.Duration) {
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -15,6 +15,8 @@
 
 	"github.com/google/uuid"
 
+	"golang.org/x/sync/errgroup"
+
 	"github.com/hyssophoist/hyssophoist/core/entity"
 	"github.com/hyssophoist/hyssophoist/core/fleet"
 	"github.com/hyssophoist/hyssophoist/core/lease"
@@ -363,19 +365,17 @@
 	defer cancel()
 	end := boottime.Now().Add(left)
 	p.lease.OrderBegun(end)
-	slots := make(chan struct{}, maxConcurrentOrders)
-	var running sync.WaitGroup
+	var running errgroup.Group
+	running.SetLimit(maxConcurrentOrders)
 	for _, order := range orders {
-		slots <- struct{}{}
-		if end.Sub(boottime.Now()) < minOrderTime {
-			break
-		}
-		running.Go(func() {
-			p.sendOrder(ctx, order, targets[order.Target], fencing)
-			<-slots
+		running.Go(func() error {
+			if end.Sub(boottime.Now()) >= minOrderTime {
+				p.sendOrder(ctx, order, targets[order.Target], fencing)
+			}
+			return nil
 		})
 	}
-	running.Wait()
+	_ = running.Wait() // sendOrder records its errors itself
 	p.lease.OrderEnded()
 }
 
