Test responses that have neither a length nor chunks

Change: the emulated targets can answer so; two cases of the test of failed streams and a test of plain calls.

--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -115,12 +115,14 @@
 func TestFailedStreamContinuesOnAnotherPath(t *testing.T) {
 	t.Parallel()
 	for name, faults := range map[string]edgeplatform.TargetFaults{
-		"broken":  {BreakAfter: 5},
-		"torn":    {BreakAfter: 5, BreakMidEvent: true},
-		"stalled": {StallAfter: 5},
-		"comment": {StallAfter: 5, CommentWhileStalled: true},
-		"silent":  {Hang: true},
-		"refused": {Refuse: true},
+		"broken":        {BreakAfter: 5},
+		"torn":          {BreakAfter: 5, BreakMidEvent: true},
+		"unframed":      {CloseDelimited: true},
+		"unframed-torn": {CloseDelimited: true, BreakAfter: 5, BreakMidEvent: true},
+		"stalled":       {StallAfter: 5},
+		"comment":       {StallAfter: 5, CommentWhileStalled: true},
+		"silent":        {Hang: true},
+		"refused":       {Refuse: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -169,6 +171,25 @@
 	}
 }
 
+// TestResponseThatEndsWithItsConnection guards against a response of a plain service that is refused or cut because it has
+// neither a length nor chunks.
+func TestResponseThatEndsWithItsConnection(t *testing.T) {
+	t.Parallel()
+	d := newDeployment(t)
+	daemon := d.addDaemon("a")
+	for _, target := range d.plain {
+		target.SetFaults(edgeplatform.TargetFaults{CloseDelimited: true})
+	}
+	for i, method := range []string{http.MethodGet, http.MethodPost} {
+		path := []string{"/read/1", "/post/1"}[i]
+		id := fmt.Sprint("unframed-", i)
+		got := d.call(daemon, method, path, id, "key-1", "")
+		if got.status != http.StatusOK || got.err != nil || got.body != "answer to "+id {
+			t.Errorf("%s %s: %+v", method, path, got)
+		}
+	}
+}
+
 // TestPostingRunsAtMostOnce guards against a posting that is retried although the target did not report it as not
 // executed, and against a status code that is wrong about whether it may have run.
 func TestPostingRunsAtMostOnce(t *testing.T) {
--- a/internal/emulator/edgeplatform/target.go
+++ b/internal/emulator/edgeplatform/target.go
@@ -53,6 +53,8 @@
 	// EndlessHead and EndlessBody make responses of plain services go on until the other side closes the connection, in
 	// a line of the head or in the body.
 	EndlessHead, EndlessBody bool
+	// CloseDelimited makes responses have neither a length nor chunks, so that they end with the connection.
+	CloseDelimited bool
 	// CrashOnPart makes the target crash when it begins to answer a stream whose prompt has this part. It is then down for
 	// crashTime, and comes back as a new process that holds its layers, so that tests need not wait for orders.
 	CrashOnPart string
@@ -396,6 +398,9 @@
 	}
 	t.mu.Unlock()
 	w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+	if faults.CloseDelimited {
+		w.Header().Set("Transfer-Encoding", "identity")
+	}
 	switch {
 	case misdirected:
 		w.WriteHeader(http.StatusMisdirectedRequest)
@@ -427,7 +432,9 @@
 	if !faults.OmitStamp {
 		w.Header().Set("X-Server-Stamp", "stamp-"+t.ID)
 	}
-	w.Header().Set("Content-Length", strconv.Itoa(len(text)))
+	if !faults.CloseDelimited {
+		w.Header().Set("Content-Length", strconv.Itoa(len(text)))
+	}
 	if faults.FailStatus != 0 {
 		w.WriteHeader(faults.FailStatus)
 	}
