Bound what instances tell each other of crashes

Parts of victims that are not asked for again stayed in every message for an hour; and an instance that remembers the latest 16 crashes of a part took an older one that another told of for news, which is passed on at once. Change: parts that are not blamed are shared for a minute after their last crash; a crash that is not remembered is no news. Result: TestEvidenceIsSharedForSomeTime and TestOldCrashesAreNoNews; TestRandomisedContainment passes.

--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -38,6 +38,8 @@
 	maxDelay = 2.0
 	// forgetAfter is how long a part without further crashes is remembered.
 	forgetAfter = time.Hour
+	// shareTime is how long after a crash an instance tells the others of a part that is not blamed.
+	shareTime = time.Minute
 	// contestTime is how long an instance goes on to tell the others that a part that they suspect was served.
 	contestTime = 5 * time.Second
 
@@ -74,7 +76,7 @@
 	Age    time.Duration
 }
 
-// Verdict tells that a part is now quarantined, or no longer suspected.
+// Verdict tells that a part is now quarantined, or no longer.
 type Verdict struct {
 	Part        string
 	Quarantined bool
@@ -235,8 +237,11 @@
 		}
 	}
 	slices.SortFunc(suspects, func(a, b *part) int {
-		if a.first != b.first {
-			return cmp.Compare(rank(a.first), rank(b.first))
+		switch {
+		case a.first && !b.first:
+			return 1
+		case b.first && !a.first:
+			return -1
 		}
 		return cmp.Or(cmp.Compare(len(b.crashes), len(a.crashes)), cmp.Compare(a.id, b.id))
 	})
@@ -254,14 +259,8 @@
 	}
 }
 
-func rank(last bool) int {
-	if last {
-		return 1
-	}
-	return 0
-}
-
-// addCrash adds a crash of a process unless it is known. Reports that have come through several instances are late.
+// addCrash adds a crash of a process unless it is known or older than all that are remembered. Reports that have come
+// through several instances are late.
 func (p *part) addCrash(c crash) (news bool) {
 	if i := slices.IndexFunc(p.crashes, func(known crash) bool { return known.engine == c.engine }); i >= 0 {
 		if c.at.Before(p.crashes[i].at) {
@@ -275,7 +274,7 @@
 	if surplus := len(p.crashes) - maxCrashesPerPart; surplus > 0 {
 		p.crashes = p.crashes[surplus:]
 	}
-	return news
+	return news && slices.Contains(p.crashes, c)
 }
 
 // addService drops the crashes before a service at the given time.
@@ -335,8 +334,20 @@
 }
 
 func (p *part) isNotable(now time.Time) bool {
-	crashed := len(p.crashes) > 0 && now.Sub(p.crashes[len(p.crashes)-1].at) < forgetAfter
-	return crashed || !p.contestedAt.IsZero() && now.Sub(p.contestedAt) < contestTime
+	return p.crashedWithin(now, forgetAfter) || p.contested(now)
+}
+
+func (p *part) crashedWithin(now time.Time, span time.Duration) bool {
+	return len(p.crashes) > 0 && now.Sub(p.crashes[len(p.crashes)-1].at) < span
+}
+
+func (p *part) contested(now time.Time) bool {
+	return !p.contestedAt.IsZero() && now.Sub(p.contestedAt) < contestTime
+}
+
+// isShared reports whether other instances are told of a part.
+func (t *Table) isShared(now time.Time, p *part) bool {
+	return t.blamed[p] > 0 || p.crashedWithin(now, shareTime) || p.contested(now)
 }
 
 // Quarantined returns a part of the prompt that is quarantined. A request with such a part must not be sent.
@@ -383,7 +394,7 @@
 // Evidence returns what to tell other instances, the parts with most crashes first, of these the latest.
 func (t *Table) Evidence(now time.Time) (evidence []Evidence) {
 	for _, p := range t.notable {
-		if !p.isNotable(now) {
+		if !t.isShared(now, p) {
 			continue
 		}
 		e := Evidence{Part: p.id, First: p.first, Served: !p.servedAt.IsZero()}
--- a/core/quarantine/quarantine_test.go
+++ b/core/quarantine/quarantine_test.go
@@ -232,6 +232,49 @@
 	}
 }
 
+// TestOldCrashesAreNoNews guards against instances that remember different crashes of a part and tell each other of them
+// again and again.
+func TestOldCrashesAreNoNews(t *testing.T) {
+	a, b := New(noDelay), New(noDelay)
+	for i := range 3 * maxCrashesPerPart {
+		table := a
+		if i < maxCrashesPerPart {
+			table = b
+		}
+		table.RecordCrash(at(time.Duration(i)*time.Second), prompt(i), fmt.Sprint("engine-", i))
+	}
+	now := at(3 * maxCrashesPerPart * time.Second)
+	for range 2 {
+		a.Merge(now, b.Evidence(now))
+		b.Merge(now, a.Evidence(now))
+	}
+	if a.Merge(now, b.Evidence(now)).News || b.Merge(now, a.Evidence(now)).News {
+		t.Error("there is news after two exchanges")
+	}
+}
+
+// TestEvidenceIsSharedForSomeTime guards against messages that hold the parts of all victims of the last hour.
+func TestEvidenceIsSharedForSomeTime(t *testing.T) {
+	table := New(noDelay)
+	table.RecordCrash(start, []string{"victim", "own"}, "engine-0")
+	for i := range 3 {
+		table.RecordCrash(at(time.Duration(i)*time.Second), prompt(i), fmt.Sprint("engine-", i))
+	}
+	shared := func(now time.Time) (ids []string) {
+		for _, e := range table.Evidence(now) {
+			ids = append(ids, e.Part)
+		}
+		slices.Sort(ids)
+		return ids
+	}
+	if got := shared(at(5 * time.Second)); !slices.Equal(got, []string{"first", "p", "victim"}) {
+		t.Errorf("shared after the crashes: %q", got)
+	}
+	if got := shared(at(5*time.Second + shareTime)); !slices.Equal(got, []string{"p"}) {
+		t.Errorf("shared later: %q", got)
+	}
+}
+
 // TestServiceContradictsCrash guards against an instance that goes on suspecting a part because the one that has served it
 // meanwhile does not say so.
 func TestServiceContradictsCrash(t *testing.T) {
