--- a/core/loadshare/loadshare.go
+++ b/core/loadshare/loadshare.go
@@ -268,8 +268,8 @@
 // number of members asks for the loads of the others.
 func PeriodsBetweenLoads(members int) int { return min(maxPeriods, 1+members/membersPerPeriod) }
 
-// InContact returns the other members of this instance's zone whose loads still count according to loadTTL, in the order of
-// compareMembers.
+// InContact returns the other members of this instance's zone whose loads still count according to loadTTL, in the
+// order of compareMembers.
 func (t *Table) InContact(now time.Time) []Member {
 	members := slices.DeleteFunc(t.upMembers(now, t.self.Zone), func(m Member) bool {
 		return now.Sub(t.members[m.ID].lastContact) >= loadTTL
--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -1,15 +1,17 @@
 // Package quarantine finds parts of prompts that crash engines, so that no further requests with such a part are sent.
 //
 // A request that crashes its engine leaves the same trace as the sound requests that happened to be at that engine: an
-// attempt that broke off. Three things tell them apart. A request that has got an event cannot have crashed its engine, and
-// neither can any part of its prompt. A sound part is soon served again elsewhere, while one that crashes engines never is.
-// And a sound part is at few of the crashes. A part is therefore quarantined when requests with it have crashed several
-// engines in a row, without any request with it having been served in between, and no other part explains these crashes.
-// Client accounts and routes are never blamed; neither is the last part of a prompt, which belongs to one request or session.
-// The first part, which all requests of a route can share, is blamed only for crashes that no later part explains.
+// attempt that broke off. Three things tell them apart. A request that has got an event cannot have crashed its engine,
+// and neither can any part of its prompt. A sound part is soon served again elsewhere, while one that crashes engines
+// never is. And a sound part is at few of the crashes. A part is therefore quarantined when requests with it have
+// crashed several engines in a row, without any request with it having been served in between, and no other part
+// explains these crashes. Client accounts and routes are never blamed; neither is the last part of a prompt, which
+// belongs to one request or session. The first part, which all requests of a route can share, is blamed only for
+// crashes that no later part explains.
 //
-// Instances exchange their evidence, since each sees few of the crashes. It answers the load of engines that crash and load
-// their layers again one after the other. The package does no I/O and reads no clock: callers pass the time in.
+// Instances exchange their evidence, since each sees few of the crashes. The quarantine answers the load of engines that
+// crash and load their layers again one after the other. The package does no I/O and reads no clock: callers pass the
+// time in.
 package quarantine
 
 import (
@@ -21,8 +23,8 @@
 )
 
 const (
-	// minCrashes is the number of crashes in a row for which a part is quarantined. A sound request, and the attempt that
-	// follows, can be at two engines that crash.
+	// minCrashes is the number of crashes in a row for which a part is quarantined. A sound request, and the attempt
+	// that follows, can be at two engines that crash.
 	minCrashes = 3
 	// minCrashesOfServed is the same for a part that was served less than recentService before the first crash: it may
 	// crash engines only since a change of the weights, but while engines crash, all parts are served less often.
@@ -192,7 +194,8 @@
 	return news
 }
 
-// change applies a change to each of the parts. The change gets the index of the part and reports whether there was news.
+// change applies a change to each of the parts. The change gets the index of the part and reports whether there was
+// news.
 func (t *Table) change(now time.Time, ids []string, apply func(int, *part) (news bool)) (outcome Outcome) {
 	before := t.quarantined(now)
 	relevant := false
@@ -227,8 +230,8 @@
 	return outcome
 }
 
-// blame finds the parts that are to blame for crashes: first those at most crashes, first parts of prompts last. A part is
-// blamed if enough of its crashes are not explained by a part before it.
+// blame finds the parts that are to blame for crashes: first those at most crashes, first parts of prompts last. A part
+// is blamed if enough of its crashes are not explained by a part before it.
 func (t *Table) blame() {
 	var suspects []*part
 	for _, p := range t.notable {
@@ -270,7 +273,9 @@
 		p.crashes = append(p.crashes, c)
 		news = true
 	}
-	slices.SortFunc(p.crashes, func(a, b crash) int { return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.engine, b.engine)) })
+	slices.SortFunc(p.crashes, func(a, b crash) int {
+		return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.engine, b.engine))
+	})
 	if surplus := len(p.crashes) - maxCrashesPerPart; surplus > 0 {
 		p.crashes = p.crashes[surplus:]
 	}
@@ -355,8 +360,8 @@
 	return t.find(prompt, func(p *part) bool { return t.isQuarantined(now, p) })
 }
 
-// Suspected reports whether one more crash may quarantine a part of the prompt. A request with such a part gets no further
-// attempt after its engine has crashed.
+// Suspected reports whether one more crash may quarantine a part of the prompt. A request with such a part gets no
+// further attempt after its engine has crashed.
 func (t *Table) Suspected(prompt []string) bool {
 	_, found := t.find(prompt, func(p *part) bool { return !p.first && p.count() >= p.required()-1 || t.blamed[p] > 0 })
 	return found
@@ -407,7 +412,8 @@
 		evidence = append(evidence, e)
 	}
 	slices.SortFunc(evidence, func(a, b Evidence) int {
-		return cmp.Or(cmp.Compare(len(b.Crashes), len(a.Crashes)), cmp.Compare(a.latest(), b.latest()), cmp.Compare(a.Part, b.Part))
+		return cmp.Or(
+			cmp.Compare(len(b.Crashes), len(a.Crashes)), cmp.Compare(a.latest(), b.latest()), cmp.Compare(a.Part, b.Part))
 	})
 	return evidence[:min(len(evidence), maxSharedParts)]
 }
--- a/core/tablecache/cache.go
+++ b/core/tablecache/cache.go
@@ -281,11 +281,12 @@
 	return batch
 }
 
-// IsNews reports whether this copy has changes, a clearly later confirmation or a failed read for an instance in the given
-// state.
+// IsNews reports whether this copy has changes, a clearly later confirmation or a failed read for an instance in the
+// given state.
 func (c *Cache) IsNews(now time.Time, state State) bool {
 	if !c.loaded {
 		return false
 	}
-	return !state.Loaded || c.version > state.Version || c.age(now)+minFresher < state.Age || c.failing() && !state.Failing
+	fresher := c.age(now)+minFresher < state.Age
+	return !state.Loaded || c.version > state.Version || fresher || c.failing() && !state.Failing
 }
--- a/core/tablecache/cache_test.go
+++ b/core/tablecache/cache_test.go
@@ -141,8 +141,8 @@
 	}
 }
 
-// TestOutageSurvivesReader guards against a new reader that does not know of the failed reads of the one before it, and so
-// takes entries that lapsed in the outage for removed.
+// TestOutageSurvivesReader guards against a new reader that does not know of the failed reads of the one before it, and
+// so takes entries that lapsed in the outage for removed.
 func TestOutageSurvivesReader(t *testing.T) {
 	reader, member, other := loaded(), loaded(), loaded()
 	reader.RecordFailure(at(time.Second))
--- a/internal/certs/certtest/certtest.go
+++ b/internal/certs/certtest/certtest.go
@@ -17,8 +17,8 @@
 	"github.com/hyssophoist/hyssophoist/internal/settings"
 )
 
-// WritePair writes a self-signed CA certificate for 127.0.0.1 and the given addresses with the given serial number, and its
-// key.
+// WritePair writes a self-signed CA certificate for 127.0.0.1 and the given addresses with the given serial number, and
+// its key.
 func WritePair(t *testing.T, files settings.TLS, serial int64, addresses ...string) {
 	t.Helper()
 	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -171,8 +171,8 @@
 	}
 }
 
-// TestResponseThatEndsWithItsConnection guards against a response of a plain service that is refused or cut because it has
-// neither a length nor chunks.
+// TestResponseThatEndsWithItsConnection guards against a response of a plain service that is refused or cut because it
+// has neither a length nor chunks.
 func TestResponseThatEndsWithItsConnection(t *testing.T) {
 	t.Parallel()
 	d := newDeployment(t)
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -84,7 +84,8 @@
 func (m *Metrics) registerGateway(g *gateway.Gateway) {
 	m.registry.MustRegister(
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
-			Name: "hyssophoist_edge_quarantined_parts", Help: "Parts of prompts that are refused because they crash engines.",
+			Name: "hyssophoist_edge_quarantined_parts",
+			Help: "Parts of prompts that are refused because they crash engines.",
 		}, func() float64 { return float64(g.QuarantinedParts()) }),
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Name: "hyssophoist_edge_body_bytes", Help: "Bytes of response bodies that are buffered.",
--- a/internal/emulator/edgeplatform/target.go
+++ b/internal/emulator/edgeplatform/target.go
@@ -55,8 +55,8 @@
 	EndlessHead, EndlessBody bool
 	// CloseDelimited makes responses have neither a length nor chunks, so that they end with the connection.
 	CloseDelimited bool
-	// CrashOnPart makes the target crash when it begins to answer a stream whose prompt has this part. It is then down for
-	// crashTime, and comes back as a new process that holds its layers, so that tests need not wait for orders.
+	// CrashOnPart makes the target crash when it begins to answer a stream whose prompt has this part. It is then down
+	// for crashTime, and comes back as a new process that holds its layers, so that tests need not wait for orders.
 	CrashOnPart string
 	// FailStatus is the status of responses of plain services; 200 if 0.
 	FailStatus int
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -37,8 +37,8 @@
 	return outcome.News
 }
 
-// OnCrash sets a function that is called when requests of this instance have shown that an engine has crashed. It must be
-// called before the gateway serves.
+// OnCrash sets a function that is called when requests of this instance have shown that an engine has crashed. It must
+// be called before the gateway serves.
 func (g *Gateway) OnCrash(f func()) { g.onCrash = f }
 
 // QuarantinedParts returns the number of parts of prompts that are quarantined.
@@ -55,8 +55,8 @@
 	g.quarantine.Tick(boottime.Now())
 }
 
-// applyVerdicts logs the verdicts after a request of this instance, or after a message of another one if requestID is empty,
-// and cancels the attempts that they concern.
+// applyVerdicts logs the verdicts after a request of this instance, or after a message of another one if requestID is
+// empty, and cancels the attempts that they concern.
 func (g *Gateway) applyVerdicts(verdicts []quarantine.Verdict, requestID string) {
 	for _, v := range verdicts {
 		if v.Quarantined {
@@ -71,8 +71,8 @@
 	}
 }
 
-// cancelQuarantined cancels the attempts with a quarantined part that have got no event: their engines may not have begun
-// to answer, and then do not crash.
+// cancelQuarantined cancels the attempts with a quarantined part that have got no event: their engines may not have
+// begun to answer, and then do not crash.
 func (g *Gateway) cancelQuarantined() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -21,8 +21,9 @@
 	return fleet.Report{Born: target.Born + 1}, nil
 }
 
-// TestBrokenConnectionIsNoCrash guards against prompts that are blamed for answers that broke off at an engine that lives,
-// against crashes that go unnoticed because of a report from before, and against blame for what this instance cancelled.
+// TestBrokenConnectionIsNoCrash guards against prompts that are blamed for answers that broke off at an engine that
+// lives, against crashes that go unnoticed because of a report from before, and against blame for what this instance
+// cancelled.
 func TestBrokenConnectionIsNoCrash(t *testing.T) {
 	closed := fmt.Errorf("read event: %w", io.ErrUnexpectedEOF)
 	dead := func() Engines { return &fakeEngines{dead: map[entity.TargetID]bool{"e": true}} }
@@ -68,8 +69,8 @@
 	}
 }
 
-// TestQuarantineCancelsAttempts guards against attempts that crash further engines although the part that does so is known
-// by then, and against the loss of streams that have got events.
+// TestQuarantineCancelsAttempts guards against attempts that crash further engines although the part that does so is
+// known by then, and against the loss of streams that have got events.
 func TestQuarantineCancelsAttempts(t *testing.T) {
 	g := New(Options{Engines: &fakeEngines{}})
 	cancelled := make(map[string]bool)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -41,8 +41,8 @@
 type stream struct {
 	*request
 	size dispatch.GenerationSize
-	// avoid holds the engines that failed or refused this stream; path, attemptCtx and cancelAttempt are the path and the
-	// context of the attempt in progress. They are guarded by gateway.mu.
+	// avoid holds the engines that failed or refused this stream; path, attemptCtx and cancelAttempt are the path and
+	// the context of the attempt in progress. They are guarded by gateway.mu.
 	avoid         map[entity.TargetID]bool
 	path          *dispatch.Path
 	attemptCtx    context.Context
--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -184,7 +184,8 @@
 	return nil
 }
 
-// exchangeCrashes merges the crash evidence of another instance and returns that of this one. News is passed on at once.
+// exchangeCrashes merges the crash evidence of another instance and returns that of this one. News is passed on at
+// once.
 func (s *Sharer) exchangeCrashes(evidence []quarantine.Evidence) []quarantine.Evidence {
 	if s.options.View.MergeCrashEvidence(evidence) {
 		s.Announce()
@@ -370,7 +371,8 @@
 
 func (s *Sharer) exchangeZone(ctx context.Context, collector loadshare.Member, sum loadshare.Loads, instances int) {
 	args := &ZoneArgs{
-		From: s.options.Self, Loads: sum, Instances: instances, Versions: s.versions(), Crashes: s.options.View.CrashEvidence(),
+		From: s.options.Self, Loads: sum, Instances: instances, Versions: s.versions(),
+		Crashes: s.options.View.CrashEvidence(),
 	}
 	tables := s.options.Tables
 	if tables != nil && tables.Stale() {
--- a/internal/loadshare/push.go
+++ b/internal/loadshare/push.go
@@ -44,8 +44,8 @@
 	}
 }
 
-// TablesChanged makes this instance pass on changes of the store's tables, or failed reads, at once: to the members of its zone if it is
-// the collector, else to the collector.
+// TablesChanged makes this instance pass on changes of the store's tables, or failed reads, at once: to the members of
+// its zone if it is the collector, else to the collector.
 func (s *Sharer) TablesChanged() {
 	select {
 	case s.changed <- struct{}{}:
@@ -95,8 +95,8 @@
 	calls.Wait()
 }
 
-// membersByStates groups the members in contact by the states of their copies as far as this instance knows. The age of a
-// copy is left out, since confirmations alone are not pushed.
+// membersByStates groups the members in contact by the states of their copies as far as this instance knows. The age of
+// a copy is left out, since confirmations alone are not pushed.
 func (s *Sharer) membersByStates() map[TableStates][]loadshare.Member {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/watch/role_test.go
+++ b/internal/watch/role_test.go
@@ -117,8 +117,8 @@
 	}
 }
 
-// TestOldAnswerDoesNotConfirm guards against a copy that counts as confirmed by an answer of the store that is older than
-// the copy: the other instances would then not read the store themselves.
+// TestOldAnswerDoesNotConfirm guards against a copy that counts as confirmed by an answer of the store that is older
+// than the copy: the other instances would then not read the store themselves.
 func TestOldAnswerDoesNotConfirm(t *testing.T) {
 	const bound = time.Second
 	for name, first := range map[string]func() (tablecache.Batch, error){
