--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -37,8 +37,8 @@
 	return outcome.News
 }
 
-// OnCrash sets a function that is called when requests of this instance have shown that an engine has crashed. It must
-// be called before the gateway serves.
+// OnCrash sets a function that is called when requests of this instance have shown that an engine has crashed. It is
+// not an option since what tells other instances is made after the gateway. It must be called before the gateway serves.
 func (g *Gateway) OnCrash(f func()) { g.onCrash = f }
 
 // QuarantinedParts returns the number of parts of prompts that are quarantined.
@@ -78,7 +78,7 @@
 	defer g.mu.Unlock()
 	for s := range g.streams {
 		if s.eventForwarded.Load() {
-			continue
+			continue // the request cannot crash an engine
 		}
 		if part, found := g.quarantine.Quarantined(boottime.Now(), s.PromptParts); found {
 			log.Event("attempt cancelled", "request", s.ID, "part", part, "path", formatPath(s.path))
