--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -350,7 +350,7 @@
 	return !p.contestedAt.IsZero() && now.Sub(p.contestedAt) < contestTime
 }
 
-// isShared reports whether other instances are told of a part.
+// isShared reports whether messages to other instances include a part.
 func (t *Table) isShared(now time.Time, p *part) bool {
 	return t.blamed[p] > 0 || p.crashedWithin(now, shareTime) || p.contested(now)
 }
--- a/core/tablecache/cache.go
+++ b/core/tablecache/cache.go
@@ -69,7 +69,7 @@
 	Replaced bool
 	// Rows holds the new and changed rows in the order of their versions.
 	Rows []Row
-	// OutageAt is the time of an outage of which another instance has told; zero if that is not new.
+	// OutageAt is the time of an outage that another instance has reported; zero if it is not new.
 	OutageAt time.Time
 }
 
