Wait in TestChangesArePushed until the collector knows both members

Instances that start together can miss each other until they read their list again after 2 s, and the test waited for the last member only, so that the other could be unknown to the collector in all six rounds. Change: the test waits until the collector knows the copies of both; what it checks and its bound are the same.

--- a/internal/loadshare/loadshare_test.go
+++ b/internal/loadshare/loadshare_test.go
@@ -242,6 +242,14 @@
 	waitUntil(t, "the first instance reads for the zone", func() bool {
 		return tables[0].Reader() && !tables[1].Reader() && !tables[2].Reader() && tables[2].hasRole()
 	})
+	// Instances that start together can miss each other until they read their list again.
+	waitUntil(t, "the first instance knows the copies of the others", func() bool {
+		known := 0
+		for _, members := range sharers[0].membersByStates() {
+			known += len(members)
+		}
+		return known == len(tables)-1
+	})
 	arrived := 0
 	for version := uint64(2); version < 8; version++ {
 		tables[0].read(version)
