Report connections that are closed without an answer

The daemon logs a request only once its handler has seen it; requests that net/http drops in a stop leave no line, so the hypotheses of the incident could not be told apart.

No logic changes.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -26,6 +26,7 @@
 	coreloadshare "github.com/hyssophoist/hyssophoist/core/loadshare"
 	"github.com/hyssophoist/hyssophoist/core/retry"
 	"github.com/hyssophoist/hyssophoist/internal/boottime"
+	"github.com/hyssophoist/hyssophoist/internal/callerconn"
 	"github.com/hyssophoist/hyssophoist/internal/connpool"
 	"github.com/hyssophoist/hyssophoist/internal/gateway"
 	"github.com/hyssophoist/hyssophoist/internal/loadshare"
@@ -184,6 +185,9 @@
 	if err != nil {
 		return fmt.Errorf("listen on %s: %w", address, err)
 	}
+	if server == d.front {
+		listener = callerconn.Track(listener, callerconn.Options{OnUnanswered: d.recordUnanswered})
+	}
 	d.wg.Go(func() {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 			log.Errorf("failed to serve on %s: %v", address, err)
@@ -192,6 +196,13 @@
 	return nil
 }
 
+// recordUnanswered records that the connection of a caller was closed without an answer to what it had sent.
+func (d *Daemon) recordUnanswered(u callerconn.Unanswered) {
+	d.metrics.UnansweredConnections.Inc()
+	log.Event("connection closed without an answer", "remote", u.Remote, "received", u.Received, "unread", u.Unread,
+		"ms", u.Waited.Milliseconds(), "stopping", d.draining.Load())
+}
+
 // maintain runs the periodic work: it closes idle connections, drops expired targets and old evidence on crashes, and
 // checks slow engines again.
 func (d *Daemon) maintain(ctx context.Context) {
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -26,6 +26,9 @@
 	Orders *prometheus.CounterVec
 	// StoreErrors counts failed reads of the store by what was read.
 	StoreErrors *prometheus.CounterVec
+	// UnansweredConnections counts connections of callers that were closed although a request, or a part of one, had
+	// arrived and nothing was written back.
+	UnansweredConnections prometheus.Counter
 	// ConfigurationVersion is the version of the configuration in force.
 	ConfigurationVersion prometheus.Gauge
 }
@@ -49,12 +52,16 @@
 		StoreErrors: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "hyssophoist_edge_store_errors_total", Help: "Failed reads of the platform's store by what was read.",
 		}, []string{"read"}),
+		UnansweredConnections: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "hyssophoist_edge_unanswered_connections_total",
+			Help: "Connections of callers closed without an answer to what they had sent.",
+		}),
 		ConfigurationVersion: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "hyssophoist_edge_configuration_version", Help: "Version of the configuration in force.",
 		}),
 	}
-	m.registry.MustRegister(m.Requests, m.Duration, m.Dials, m.Orders, m.StoreErrors, m.ConfigurationVersion,
-		collectors.NewGoCollector())
+	m.registry.MustRegister(m.Requests, m.Duration, m.Dials, m.Orders, m.StoreErrors,
+		m.UnansweredConnections, m.ConfigurationVersion, collectors.NewGoCollector())
 	return m
 }
 
