--- /dev/null
+++ b/internal/edge/stop_test.go
@@ -0,0 +1,141 @@
+package edge
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/hyssophoist/hyssophoist/internal/emulator/edgeplatform"
+	"github.com/hyssophoist/hyssophoist/internal/testenv"
+)
+
+// callerConn is a connection of a caller that sends the bytes of its requests itself.
+type callerConn struct {
+	net.Conn
+	reader *bufio.Reader
+}
+
+func dialCaller(t *testing.T, daemon *Daemon) *callerConn {
+	t.Helper()
+	c, err := net.Dial("tcp", daemon.settings.Front)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	return &callerConn{Conn: c, reader: bufio.NewReader(c)}
+}
+
+// posting returns the bytes of a posting with the given id.
+func posting(id string) string {
+	const body = "amount=3"
+	return fmt.Sprintf("POST /post/1 HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Deadline-Ms: 1000\r\nX-Key: key-1\r\n"+
+		"Content-Length: %d\r\n\r\n%s", edgeplatform.Host, id, len(body), body)
+}
+
+// write sends bytes. An error shows when the answer is read.
+func (c *callerConn) write(content string) { _, _ = io.WriteString(c.Conn, content) }
+
+// answer returns the status of the next complete response.
+func (c *callerConn) answer() (int, error) {
+	if err := c.SetReadDeadline(time.Now().Add(waitLimit)); err != nil {
+		return 0, err
+	}
+	response, err := http.ReadResponse(c.reader, nil)
+	if err != nil {
+		return 0, err
+	}
+	_, err = io.Copy(io.Discard, response.Body)
+	return response.StatusCode, err
+}
+
+// checkAnswered fails the test unless the posting has run once and was answered, or was refused and has not run.
+func (d *deployment) checkAnswered(t *testing.T, id string, status int, err error) {
+	t.Helper()
+	runs := len(d.runsOf(id))
+	switch {
+	case err != nil:
+		t.Errorf("posting %s got no answer: %v, ran %d times", id, err, runs)
+	case status == http.StatusOK && runs != 1, status == http.StatusServiceUnavailable && runs != 0:
+		t.Errorf("posting %s got status %d and ran %d times", id, status, runs)
+	case status != http.StatusOK && status != http.StatusServiceUnavailable:
+		t.Errorf("posting %s got status %d", id, status)
+	}
+}
+
+// TestRequestsOnOpenConnectionsAreAnsweredDuringStop guards against requests that are dropped after drainDelay.
+func TestRequestsOnOpenConnectionsAreAnsweredDuringStop(t *testing.T) {
+	t.Parallel()
+	for name, test := range map[string]struct {
+		kept        bool // the connection has carried a request before
+		bytesBefore int  // how much of the request is sent before the end of drainDelay
+	}{
+		"new connection":                      {},
+		"part of the head":                    {bytesBefore: 20},
+		"kept connection, part of the head":   {kept: true, bytesBefore: 20},
+		"kept connection, part of the body":   {kept: true, bytesBefore: len(posting("x")) - 3},
+		"kept connection, next whole request": {kept: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			d := newDeployment(t)
+			daemon := d.addDaemon("a")
+			caller := dialCaller(t, daemon)
+			if test.kept {
+				caller.write(posting("first"))
+				status, err := caller.answer()
+				d.checkAnswered(t, "first", status, err)
+			}
+			go daemon.drain()
+			time.Sleep(drainDelay - 50*time.Millisecond)
+			request := posting("second")
+			caller.write(request[:test.bytesBefore])
+			time.Sleep(150 * time.Millisecond)
+			caller.write(request[test.bytesBefore:])
+			status, err := caller.answer()
+			d.checkAnswered(t, "second", status, err)
+		})
+	}
+}
+
+// TestRandomisedRequestsAroundDrainDelay guards against requests that are dropped because they arrive at the moment at
+// which a stopping daemon closes connections.
+func TestRandomisedRequestsAroundDrainDelay(t *testing.T) {
+	t.Parallel()
+	const callers = 40
+	const spread = 300 * time.Millisecond
+	random := rand.New(rand.NewPCG(testenv.Seed(t, 1), 0))
+	d := newDeployment(t)
+	daemon := d.addDaemon("a")
+	var running sync.WaitGroup
+	defer running.Wait()
+	stopAt := time.Now().Add(500 * time.Millisecond)
+	for n := range callers {
+		id := fmt.Sprintf("r-%d", n)
+		caller := dialCaller(t, daemon)
+		if kept := n%2 == 0; kept {
+			caller.write(posting("first-" + id))
+			status, err := caller.answer()
+			d.checkAnswered(t, "first-"+id, status, err)
+		}
+		request := posting(id)
+		before := random.IntN(len(request))
+		at := stopAt.Add(drainDelay - spread/2 + time.Duration(random.Int64N(int64(spread))))
+		pause := time.Duration(random.IntN(int(20 * time.Millisecond)))
+		running.Go(func() {
+			time.Sleep(time.Until(at))
+			caller.write(request[:before])
+			time.Sleep(pause)
+			caller.write(request[before:])
+			status, err := caller.answer()
+			d.checkAnswered(t, id, status, err)
+		})
+	}
+	time.Sleep(time.Until(stopAt))
+	daemon.drain()
+}
