Show that streams are given up while sound engines are silent

A sound target may send nothing for a second or so; the daemon takes an engine that gives no report for 0.3 s for faulty, and cancels attempts that cannot be rerouted even if no other may follow.

--- /dev/null
+++ b/internal/edge/silence_test.go
@@ -0,0 +1,59 @@
+package edge
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/hyssophoist/hyssophoist/internal/emulator/edgeplatform"
+	"github.com/hyssophoist/hyssophoist/internal/settings"
+)
+
+// TestSilentTargetsLoseNoRequest guards against requests that are given up because a target that is sound sends nothing
+// for a second or so.
+func TestSilentTargetsLoseNoRequest(t *testing.T) {
+	t.Parallel()
+	for name, test := range map[string]struct {
+		silentAfter int
+		silentFor   time.Duration
+		noRetries   bool
+	}{
+		"before the first event":                      {silentFor: 1200 * time.Millisecond},
+		"before the first event, no retry left":       {silentFor: 1200 * time.Millisecond, noRetries: true},
+		"within a stream":                             {silentFor: 1200 * time.Millisecond, silentAfter: 5},
+		"within a stream, no retry left":              {silentFor: 1200 * time.Millisecond, silentAfter: 5, noRetries: true},
+		"within a stream, no retry left, 1.5 seconds": {silentFor: 1500 * time.Millisecond, silentAfter: 5, noRetries: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			d := newDeployment(t)
+			daemon := d.addDaemonAndAwaitPlacement()
+			if test.noRetries {
+				daemon = d.addDaemonWithoutRetries("a")
+			}
+			for _, target := range append(d.engines, d.plain...) {
+				target.SetFaults(edgeplatform.TargetFaults{SilentFor: test.silentFor, SilentAfter: test.silentAfter})
+			}
+			got := d.stream(daemon, "s1")
+			if got.status != http.StatusOK || got.err != nil {
+				t.Fatalf("stream: %+v", got)
+			}
+			checkEvents(t, got.body)
+			got = d.call(daemon, http.MethodPost, "/post/1", "p1", "key-1", "x")
+			if got.status != http.StatusOK || len(d.runsOf("p1")) != 1 {
+				t.Errorf("posting: %+v, runs %+v", got, d.runsOf("p1"))
+			}
+		})
+	}
+}
+
+// addDaemonWithoutRetries starts a daemon that may send no request a second time.
+func (d *deployment) addDaemonWithoutRetries(zone string) *Daemon {
+	d.t.Helper()
+	s := d.daemonSettings(zone)
+	s.Retries = settings.Retries{Span: settings.Duration(10 * time.Second)}
+	daemon := d.startDaemon(s)
+	d.waitUntil("daemon is ready", func() bool { return daemon.notReadyReason() == "" })
+	d.waitUntil("the daemon knows the layers of all engines", func() bool { return daemon.knownLayers() == 2*modelLayers })
+	return daemon
+}
--- a/internal/emulator/edgeplatform/target.go
+++ b/internal/emulator/edgeplatform/target.go
@@ -60,6 +60,10 @@
 	CrashOnPart string
 	// FailStatus is the status of responses of plain services; 200 if 0.
 	FailStatus int
+	// SilentFor makes the target fall silent once: it keeps its connections and what it runs, and neither reads nor
+	// writes for this time. It does so when a request arrives, or at the event SilentAfter of a stream.
+	SilentFor   time.Duration
+	SilentAfter int
 }
 
 // Run is a request that a target has started to run.
@@ -106,6 +110,8 @@
 	// crashes counts the crashes because of CrashOnPart. The target is down until downUntil.
 	crashes   int
 	downUntil time.Time
+	// silentUntil is the end of a silence because of SilentFor.
+	silentUntil time.Time
 }
 
 // NewTarget starts a target. Call Close to stop it.
@@ -154,10 +160,29 @@
 		if t.Down() {
 			panic(http.ErrAbortHandler)
 		}
+		t.awaitEndOfSilence()
 		next.ServeHTTP(w, r)
 	})
 }
 
+// fallSilent begins a silence because of SilentFor after the given number of events of a stream, unless it has been.
+func (t *Target) fallSilent(events int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.faults.SilentFor > 0 && t.faults.SilentAfter == events {
+		t.silentUntil = time.Now().Add(t.faults.SilentFor)
+		t.faults.SilentFor = 0
+	}
+}
+
+// awaitEndOfSilence blocks while the target is silent.
+func (t *Target) awaitEndOfSilence() {
+	t.mu.Lock()
+	until := t.silentUntil
+	t.mu.Unlock()
+	time.Sleep(time.Until(until))
+}
+
 // Down reports whether the target is down after a crash.
 func (t *Target) Down() bool {
 	t.mu.Lock()
@@ -397,6 +422,8 @@
 		})
 	}
 	t.mu.Unlock()
+	t.fallSilent(0)
+	t.awaitEndOfSilence()
 	w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
 	if faults.CloseDelimited {
 		w.Header().Set("Transfer-Encoding", "identity")
@@ -494,6 +521,10 @@
 	}
 	for i := first; i < t.Events; i++ {
 		sent := i - first
+		if sent > 0 {
+			t.fallSilent(sent)
+		}
+		t.awaitEndOfSilence()
 		if faults.WaitFor != "" && sent == faults.StallAfter && strings.Contains(r.Header.Get("X-Hops"), faults.WaitFor+"=") {
 			if !t.waitForReroute(r) {
 				return
