Serve the requests of the last connections of a stopping daemon

Callers saw: a first form of the stop refused streams that arrived in the 0.25 s in which the last connections are still read, about three in a stop.

Cause: drain.Stop took requests without regard to their length only until the end of the balancer delay.

Change: it takes them until the end of that time, which is still within 3 s of SIGTERM.

--- a/internal/callerconn/callerconn.go
+++ b/internal/callerconn/callerconn.go
@@ -13,14 +13,12 @@
 	"os"
 	"sync"
 	"time"
+
+	"github.com/hyssophoist/hyssophoist/core/drain"
 )
 
 const (
-	// lingerTime is how long a connection that carries no request is still read before it is closed, and how long
-	// connections are still accepted before the listener is. A caller's request may arrive this long after its
-	// connection.
-	lingerTime = 250 * time.Millisecond
-	// lastReadTime bounds the read after lingerTime, which finds bytes that arrived as it ended.
+	// lastReadTime bounds the read after drain.Linger, which finds bytes that arrived as it ended.
 	lastReadTime = time.Millisecond
 	// finishPollInterval is the time between two checks whether all connections have ended.
 	finishPollInterval = 5 * time.Millisecond
@@ -92,12 +90,12 @@
 }
 
 // Finish stops accepting connections and closes those that carry no request, each once nothing has arrived on it for
-// lingerTime. Requests that arrive until then are served. It returns when all connections have ended, or with the error
+// drain.Linger. Requests that arrive until then are served. It returns when all connections have ended, or with the error
 // of ctx.
 func (l *Listener) Finish(ctx context.Context) error {
 	l.mu.Lock()
 	l.finishing = true
-	err := l.TCPListener.SetDeadline(time.Now().Add(lingerTime))
+	err := l.TCPListener.SetDeadline(time.Now().Add(drain.Linger))
 	for c := range l.conns {
 		c.linger()
 	}
@@ -153,13 +151,13 @@
 // carriesRequest reports whether a request is arriving or in progress. The caller holds c.mu.
 func (c *conn) carriesRequest() bool { return c.handling || c.received > 0 }
 
-// linger makes reads fail once nothing has arrived for lingerTime, unless a request is arriving or in progress.
+// linger makes reads fail once nothing has arrived for drain.Linger, unless a request is arriving or in progress.
 func (c *conn) linger() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.lingering = true
 	if !c.carriesRequest() {
-		_ = c.Conn.SetReadDeadline(time.Now().Add(lingerTime)) // an error means that the connection is closed
+		_ = c.Conn.SetReadDeadline(time.Now().Add(drain.Linger)) // an error means that the connection is closed
 	}
 }
 
@@ -169,7 +167,7 @@
 	defer c.mu.Unlock()
 	c.readDeadline = deadline
 	if c.lingering && !c.carriesRequest() {
-		deadline = time.Now().Add(lingerTime)
+		deadline = time.Now().Add(drain.Linger)
 	}
 	return c.Conn.SetReadDeadline(deadline)
 }
