Wait for silent engines while no other attempt may follow

Callers saw: streams cut within the answer, or answered 502, while a sound engine sent nothing for about a second.

Cause: the watchdog of a stream cancels an attempt that cannot be rerouted once an engine has given no report for 0.3 s, even if the attempt is the last one: the route allows no other, no retry is left, or many streams are cancelled for the retries that only a few of them get. Class: silence taken for the end of a process.

Change: dispatch.Stall decides. An attempt that another may follow is cancelled as before, but only with its retry taken first. One that no other may follow is kept until an engine is known to have ended (its address refuses or resets, or has another process) or has been silent for 1.8 s.

TestSilentEngineWithoutRetryIsWaitedFor fails if the retry is not taken first.

--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -52,6 +52,8 @@
 	rerouteMu sync.Mutex
 	// resumable reports whether another attempt may follow the one in progress.
 	resumable bool
+	// retryReserved reports whether the retry after the attempt in progress has been taken. Guarded by gateway.mu.
+	retryReserved bool
 	// headWritten reports whether the head of the response has been sent to the caller.
 	headWritten bool
 	// lastEventID is the id of the last event forwarded to the caller, events is the number of forwarded events.
@@ -92,7 +94,7 @@
 		if done {
 			return
 		}
-		if !retry || s.mayCrashEngines() || ctx.Err() != nil || q.sends >= maxSends || !q.takeRetry() {
+		if !retry || s.mayCrashEngines() || ctx.Err() != nil || q.sends >= maxSends || !s.takeRetry() {
 			s.endFailed()
 			return
 		}
@@ -138,7 +140,8 @@
 	s.register(attemptCtx, cancel)
 	s.watchdog = s.gateway.inspector.watch(attemptCtx, watchedAttempt{
 		requestID: s.ID, targets: s.targets, targetsWithoutProgress: s.targetsWithoutProgress,
-		stallTimeout: s.stallTimeout, reroute: s.reroute, cancel: cancel,
+		stallTimeout: s.stallTimeout, replaceable: s.replaceable,
+		reserveRetry: s.reserveRetry, reroute: s.reroute, cancel: cancel,
 	})
 	defer s.watchdog.stop()
 	sent := time.Now()
@@ -258,16 +261,45 @@
 	return b.String()
 }
 
-// stallTimeout returns how long the stream waits for its next event if no engine is found to be faulty.
+// stallTimeout returns how long the stream waits for its next event if no engine is found to be faulty and another
+// attempt may follow.
 func (s *stream) stallTimeout() time.Duration {
-	switch {
-	case !s.resumable:
-		return s.timeLeft()
-	case s.eventForwarded.Load():
+	if s.eventForwarded.Load() {
 		return eventTimeout
-	default:
-		return firstEventTimeout
 	}
+	return firstEventTimeout
+}
+
+// reserveRetry takes the retry that follows the attempt in progress before that is cancelled.
+func (s *stream) reserveRetry() bool {
+	s.gateway.mu.Lock()
+	defer s.gateway.mu.Unlock()
+	window, now, instances := s.gateway.retryState(s.service.ID)
+	s.retryReserved = window.TryAcquire(now, instances)
+	return s.retryReserved
+}
+
+// takeRetry takes a retry unless one has been reserved, and reports whether one was left.
+func (s *stream) takeRetry() bool {
+	s.gateway.mu.Lock()
+	reserved := s.retryReserved
+	s.retryReserved = false
+	s.gateway.mu.Unlock()
+	return reserved || s.request.takeRetry()
+}
+
+// replaceable reports whether another attempt may follow the one in progress.
+func (s *stream) replaceable() bool {
+	if !s.resumable || s.sends >= maxSends {
+		return false
+	}
+	s.gateway.mu.Lock()
+	defer s.gateway.mu.Unlock()
+	if !s.eventForwarded.Load() && s.gateway.quarantine.Suspected(s.PromptParts) {
+		return false
+	}
+	window, now, instances := s.gateway.retryState(s.service.ID)
+	return window.Allows(now, instances)
 }
 
 // forwardEvents forwards events to the caller until the stream ends. Only complete events are forwarded.
--- a/internal/gateway/watchdog.go
+++ b/internal/gateway/watchdog.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
+	"syscall"
 	"time"
 
+	"github.com/hyssophoist/hyssophoist/core/dispatch"
 	"github.com/hyssophoist/hyssophoist/core/entity"
 	"github.com/hyssophoist/hyssophoist/core/fleet"
 )
@@ -32,8 +35,12 @@
 	// targets returns the engines of the attempt's path; targetsWithoutProgress returns those through which no other
 	// stream has recently made progress.
 	targets, targetsWithoutProgress func() []fleet.Target
-	// stallTimeout returns the maximum time without an event if no engine is found to be faulty.
+	// stallTimeout returns the maximum time without an event if no engine is found to be faulty and another attempt may
+	// follow, which replaceable reports.
 	stallTimeout func() time.Duration
+	replaceable  func() bool
+	// reserveRetry takes a retry for the attempt that is to follow, and reports whether one was left.
+	reserveRetry func() bool
 	// reroute tries to continue the attempt without the faulty engines.
 	reroute func(ctx context.Context, faulty []fleet.Target) bool
 	// cancel cancels the attempt.
@@ -56,10 +63,12 @@
 	// faulty holds the engines because of which the attempt was cancelled.
 	faulty  []fleet.Target
 	stopped bool
+	// waiting reports whether the attempt is kept although engines of its path are faulty.
+	waiting bool
 }
 
-// watch starts a watchdog that reroutes the attempt if engines of its path are found to be faulty. It cancels the
-// attempt if it cannot be rerouted, or if no event arrives within its stall timeout.
+// watch starts a watchdog that reroutes the attempt if engines of its path are found to be faulty. If the attempt cannot
+// be rerouted, or no event arrives within its stall timeout, dispatch.Stall decides whether the watchdog cancels it.
 func (i *inspector) watch(ctx context.Context, attempt watchedAttempt) *watchdog {
 	w := &watchdog{inspector: i, attempt: attempt, lastArrival: time.Now()}
 	w.timer = time.AfterFunc(stallCheckDelay, func() { w.check(ctx) })
@@ -89,9 +98,9 @@
 		w.resetTimer(checkDelay - idle)
 		return
 	}
-	faulty := w.findFaulty(ctx, idle)
+	faulty, gone := w.findFaulty(ctx, idle)
 	idle, checkDelay, stopped = w.state()
-	switch limit := w.attempt.stallTimeout(); {
+	switch {
 	case stopped:
 		return
 	case idle < checkDelay:
@@ -99,19 +108,44 @@
 	case len(faulty) > 0 && w.attempt.reroute(ctx, faulty):
 		w.resetArrival()
 		w.resetTimer(stallCheckDelay)
-	case len(faulty) > 0 || idle >= limit:
+	default:
+		w.cancelOrWait(faulty, gone)
+	}
+}
+
+// cancelOrWait cancels the attempt, which could not be rerouted, or waits on.
+func (w *watchdog) cancelOrWait(faulty []fleet.Target, gone bool) {
+	idle, _, stopped := w.state()
+	if stopped {
+		return
+	}
+	stall := dispatch.Stall{
+		Idle: idle, Limit: w.attempt.stallTimeout(), Silent: len(faulty) > 0, Gone: gone,
+		Replaceable: w.attempt.replaceable(),
+	}
+	if stall.Cancel() && stall.Replaceable {
+		// Many streams may have to be retried at the same time.
+		stall.Replaceable = w.attempt.reserveRetry()
+	}
+	if stall.Cancel() {
 		w.mu.Lock()
 		w.faulty = faulty
 		w.mu.Unlock()
 		w.attempt.cancel()
-	default:
-		// Checks less often the longer no event arrives, but not later than the limit.
-		w.resetTimer(min(max(minRecheckDelay, idle/2), max(minRecheckDelay, limit-idle)))
+		return
 	}
+	if len(faulty) > 0 && !w.waiting {
+		w.waiting = true
+		log.Event("stream waits for a silent engine", "request", w.attempt.requestID, "target", faulty[0].ID,
+			"ms", idle.Milliseconds())
+	}
+	// Checks less often the longer no event arrives, but not later than the limit.
+	w.resetTimer(min(max(minRecheckDelay, idle/2), max(minRecheckDelay, stall.Wait())))
 }
 
-// findFaulty returns the engines that are found to be faulty after no event has arrived for the time idle.
-func (w *watchdog) findFaulty(ctx context.Context, idle time.Duration) []fleet.Target {
+// findFaulty returns the engines that are found to be faulty after no event has arrived for the time idle, and whether
+// the process of one of them has ended.
+func (w *watchdog) findFaulty(ctx context.Context, idle time.Duration) (faulty []fleet.Target, gone bool) {
 	if idle < stallCheckDelay {
 		return w.inspector.unresponsiveTargets(ctx, w.attempt.targetsWithoutProgress())
 	}
@@ -169,26 +203,37 @@
 }
 
 // unresponsiveTargets returns the engines that return no report, or nil if ctx has ended.
-func (i *inspector) unresponsiveTargets(ctx context.Context, targets []fleet.Target) (unresponsive []fleet.Target) {
+func (i *inspector) unresponsiveTargets(ctx context.Context,
+	targets []fleet.Target) (unresponsive []fleet.Target, gone bool) {
 	reports := i.readReports(ctx, targets)
 	if ctx.Err() != nil {
-		return nil
+		return nil, false
 	}
 	for n, target := range targets {
 		if reports[n].err != nil {
 			unresponsive = append(unresponsive, target)
+			gone = gone || reports[n].hasEnded(target)
 		}
 	}
-	return unresponsive
+	return unresponsive, gone
+}
+
+// hasEnded reports whether the result shows that the process of an engine has ended: its address refuses or resets
+// connections, or another process has taken its place. An engine that does not answer may only be silent.
+func (r reportResult) hasEnded(target fleet.Target) bool {
+	if r.err == nil {
+		return r.report.Born != 0 && r.report.Born != target.Born
+	}
+	return errors.Is(r.err, syscall.ECONNREFUSED) || closedByTarget(r.err)
 }
 
 // faultyTargets returns the engines of a path because of which the request makes no progress: those that return no
 // report and those that the first engine reports as stalling the request.
 func (i *inspector) faultyTargets(ctx context.Context, requestID string,
-	targets []fleet.Target) (faulty []fleet.Target) {
+	targets []fleet.Target) (faulty []fleet.Target, gone bool) {
 	reports := i.readReports(ctx, targets)
 	if ctx.Err() != nil || len(targets) == 0 {
-		return nil
+		return nil, false
 	}
 	stalledAt := make(map[string]bool)
 	for _, stalled := range reports[0].report.Stalled {
@@ -199,9 +244,10 @@
 	for n, target := range targets {
 		if reports[n].err != nil || stalledAt[target.Address] {
 			faulty = append(faulty, target)
+			gone = gone || reports[n].hasEnded(target)
 		}
 	}
-	return faulty
+	return faulty, gone
 }
 
 // targetsWithoutProgress returns the engines of the attempt's path through which no other stream of this instance has
--- a/internal/gateway/watchdog_test.go
+++ b/internal/gateway/watchdog_test.go
@@ -115,7 +115,8 @@
 			timer:       time.NewTimer(time.Hour),
 			attempt: watchedAttempt{
 				requestID: "s", targets: stalled.targets, targetsWithoutProgress: stalled.targetsWithoutProgress,
-				stallTimeout: func() time.Duration { return time.Minute },
+				stallTimeout: func() time.Duration { return time.Minute }, replaceable: func() bool { return true },
+				reserveRetry: func() bool { return true },
 				reroute: func(_ context.Context, targets []fleet.Target) bool {
 					faulty = targets
 					return canReroute
@@ -134,6 +135,28 @@
 	}
 }
 
+// TestSilentEngineWithoutRetryIsWaitedFor guards against a stream that is cut because it was to be retried and other
+// streams took the last retry.
+func TestSilentEngineWithoutRetryIsWaitedFor(t *testing.T) {
+	for _, retryLeft := range []bool{true, false} {
+		g := New(Options{Engines: &fakeEngines{}})
+		cancelled := false
+		w := &watchdog{
+			inspector: g.inspector, lastArrival: time.Now().Add(-time.Second), timer: time.NewTimer(time.Hour),
+			attempt: watchedAttempt{
+				requestID: "s", stallTimeout: func() time.Duration { return time.Minute },
+				replaceable: func() bool { return true }, reserveRetry: func() bool { return retryLeft },
+				cancel: func() { cancelled = true },
+			},
+		}
+		w.cancelOrWait([]fleet.Target{{ID: "silent"}}, false)
+		if cancelled != retryLeft {
+			t.Errorf("retry left %v: cancelled %v", retryLeft, cancelled)
+		}
+		w.stop()
+	}
+}
+
 // TestReroutesOneAtATime guards against overlapping reroutes of a stream. They occur if two engines of its path have to
 // be replaced at once, one that is lost and one that unloads layers, and would leave the first engine and this instance
 // with different paths. The stream has to end on a path without both engines.
