Answer callers that have closed their sending side

Callers would see: an empty response with status 200, or a truncated stream that looks complete.

Cause: net/http ends the context of a request when the caller closes its sending side. The gateway took this for a disconnect, returned from the handler without a word, and net/http completed the response: with nothing, or with the end of the chunked body. Class: a handler that returns early completes the response.

Change: endWithError always writes; a stream whose head is written aborts its connection. Attempts are still cancelled, as a caller that has left cannot be told from one that half-closed.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -403,15 +403,15 @@
 	g.dispatcher.Fleet.RecordSuccess(id)
 }
 
-// endWithError ends the request with an error response written by the gateway.
+// endWithError ends the request with an error response written by the gateway. It writes the response even if the
+// caller has disconnected: one that has closed only its sending side still reads it.
 func (q *request) endWithError(kind errkind.Kind) {
-	after := retryAfter(kind)
-	if q.Request.Context().Err() == nil {
-		q.gateway.options.Codec.WriteError(q.writer, q.ID, kind, after)
-	} else {
-		kind = errkind.Canceled
+	q.gateway.options.Codec.WriteError(q.writer, q.ID, kind, retryAfter(kind))
+	result := kind
+	if q.Request.Context().Err() != nil {
+		result = errkind.Canceled
 	}
-	q.recordEnd(string(kind), strconv.Itoa(errkind.ResponseFor(kind).Status))
+	q.recordEnd(string(result), strconv.Itoa(errkind.ResponseFor(kind).Status))
 }
 
 // retryAfter returns the delay after which a caller should retry, or 0 for errors that it should not retry. The jitter
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -117,6 +117,19 @@
 	}
 }
 
+// endCanceled ends a stream whose caller has disconnected, or has closed its sending side and still reads.
+func (s *stream) endCanceled(err error) {
+	if s.headWritten {
+		s.recordEnd(string(errkind.Canceled), "200")
+		panic(http.ErrAbortHandler) // as in endFailed
+	}
+	kind := errkind.OutcomeUnknown
+	if errors.Is(err, errNotSent) && s.runs == 0 {
+		kind = errkind.NoCapacity
+	}
+	s.endWithError(kind)
+}
+
 // runAttempt makes one attempt on one path. done reports whether the request has ended, retry whether another attempt
 // is allowed.
 func (s *stream) runAttempt(ctx context.Context) (done, retry bool) {
@@ -373,7 +386,7 @@
 func (s *stream) handleInterruption(ctx context.Context, err error) (done, retry bool) {
 	s.lastErr = err
 	if s.Request.Context().Err() != nil {
-		s.recordEnd(string(errkind.Canceled), "")
+		s.endCanceled(err)
 		return true, false
 	}
 	if errors.Is(err, errNotSent) {
