Show the era of the store

Change: the client of the store reads the header Store-Era; a log line when it rises, the gauge hyssophoist_edge_store_era. No logic changes: nothing decides by the era yet.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -100,7 +100,11 @@
 }
 
 func newStore(s *settings.Edge) *platform.Store {
-	return platform.NewStore(s.Store.Address, time.Duration(s.Store.Timeout))
+	store := platform.NewStore(s.Store.Address, time.Duration(s.Store.Timeout))
+	store.OnRestore = func(before, era uint64) {
+		log.Event("store was restored from a copy", "era", era, "before", before)
+	}
+	return store
 }
 
 func newPlacer(s *settings.Edge, g *gateway.Gateway, engines *platform.EngineClient, store *platform.Store,
@@ -124,6 +128,7 @@
 func newDaemon(lifecycle fx.Lifecycle, s *settings.Edge, g *gateway.Gateway, pool *connpool.Pool, store *platform.Store,
 	t *tables, p *placer.Placer, sharer *loadshare.Sharer, m *Metrics) *Daemon {
 	m.registerTables(t)
+	m.registerStore(store)
 	m.registerGateway(g)
 	g.OnCrash(sharer.Announce)
 	d := &Daemon{
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -10,6 +10,7 @@
 
 	"github.com/hyssophoist/hyssophoist/internal/gateway"
 	"github.com/hyssophoist/hyssophoist/internal/watch"
+	"github.com/hyssophoist/hyssophoist/platform"
 )
 
 // Metrics holds the metrics of an edge daemon. Durations are in seconds.
@@ -87,6 +88,14 @@
 	}
 }
 
+// registerStore adds metrics of the store.
+func (m *Metrics) registerStore(s *platform.Store) {
+	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "hyssophoist_edge_store_era",
+		Help: "Era of the store, which rises each time it comes back from an older copy of its content.",
+	}, func() float64 { return float64(s.Era()) }))
+}
+
 // registerGateway adds metrics of the state of the gateway.
 func (m *Metrics) registerGateway(g *gateway.Gateway) {
 	m.registry.MustRegister(
