Accept the last connections before a stopping server ends

Callers saw: a request that arrived as the last other connection ended was reset.

Cause: Finish returned as soon as no connection was open, without waiting for the end of accepting; and a listener whose deadline has passed does not look into its queue, so that a pause of the process at that moment reset what was in it. The last read had the same flaw: it needed the process to run within a millisecond.

Change: Finish waits until Accept has returned ErrFinished, which it does only after another try; the last read asks the kernel whether bytes have arrived. SetState knows TLS connections.

--- a/internal/callerconn/callerconn.go
+++ b/internal/callerconn/callerconn.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"net"
 	"net/http"
@@ -18,8 +19,9 @@
 )
 
 const (
-	// lastReadTime bounds the read after drain.Linger, which finds bytes that arrived as it ended.
-	lastReadTime = time.Millisecond
+	// lastAcceptTime bounds the wait for a connection after drain.Linger. A listener whose deadline has passed does not
+	// look into its queue, so connections that arrived in a pause of the process need another try.
+	lastAcceptTime = 100 * time.Millisecond
 	// finishPollInterval is the time between two checks whether all connections have ended.
 	finishPollInterval = 5 * time.Millisecond
 )
@@ -52,38 +54,54 @@
 	mu        sync.Mutex
 	conns     map[*conn]struct{}
 	finishing bool
+	// accepted is closed when Accept has returned ErrFinished.
+	accepted chan struct{}
+	end      sync.Once
 }
 
 // Track returns a listener that tracks the connections that it accepts from inner. The server must call SetState.
 func Track(inner *net.TCPListener, options Options) *Listener {
-	return &Listener{TCPListener: inner, options: options, conns: make(map[*conn]struct{})}
+	return &Listener{
+		TCPListener: inner, options: options, conns: make(map[*conn]struct{}), accepted: make(chan struct{}),
+	}
 }
 
-// Accept implements net.Listener.
+// Accept implements net.Listener. After Finish it returns the connections in the queue, and then ErrFinished.
 func (l *Listener) Accept() (net.Conn, error) {
 	inner, err := l.TCPListener.Accept()
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if err != nil {
-		if l.finishing {
-			return nil, ErrFinished
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		if err := l.TCPListener.SetDeadline(time.Now().Add(lastAcceptTime)); err != nil {
+			return nil, err
 		}
+		inner, err = l.TCPListener.Accept()
+	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		l.end.Do(func() { close(l.accepted) })
+		return nil, ErrFinished
+	}
+	if err != nil {
 		return nil, err
 	}
+	return l.track(inner), nil
+}
+
+func (l *Listener) track(inner net.Conn) *conn {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	c := &conn{Conn: inner, listener: l}
 	if l.finishing {
 		c.linger()
 	}
 	l.conns[c] = struct{}{}
-	return c, nil
+	return c
 }
 
 // SetState is the ConnState hook of the server. It tells a connection whether a request is in progress on it.
 func (l *Listener) SetState(c net.Conn, state http.ConnState) {
-	tracked, ok := c.(*conn)
-	if !ok {
-		return
+	if secure, ok := c.(*tls.Conn); ok {
+		c = secure.NetConn()
 	}
+	tracked := c.(*conn)
 	tracked.mu.Lock()
 	defer tracked.mu.Unlock()
 	tracked.handling = state == http.StateActive
@@ -103,6 +121,16 @@
 	if err != nil {
 		return err
 	}
+	select {
+	case <-l.accepted:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	return l.Wait(ctx)
+}
+
+// Wait returns when all connections have ended, or with the error of ctx.
+func (l *Listener) Wait(ctx context.Context) error {
 	ticker := time.NewTicker(finishPollInterval)
 	defer ticker.Stop()
 	for l.Count() > 0 {
@@ -175,22 +203,20 @@
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.prepareLastRead() {
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.requestHasArrived() {
 		n, err = c.Conn.Read(p)
 	}
 	c.recordRead(n, err)
 	return n, err
 }
 
-// prepareLastRead reports whether the read that has timed out did so because the connection lingers. If so, one more
-// read finds bytes that have arrived meanwhile.
-func (c *conn) prepareLastRead() bool {
+// requestHasArrived reports whether the read that has timed out did so because the connection lingers, and bytes have
+// arrived meanwhile: a read whose deadline has passed does not look for any. The connection then gets the deadline of the
+// server again.
+func (c *conn) requestHasArrived() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.lingering || c.carriesRequest() {
-		return false
-	}
-	return c.Conn.SetReadDeadline(time.Now().Add(lastReadTime)) == nil
+	return c.lingering && !c.carriesRequest() && hasUnread(c.Conn) && c.Conn.SetReadDeadline(c.readDeadline) == nil
 }
 
 func (c *conn) recordRead(n int, err error) {
--- a/internal/callerconn/callerconn_test.go
+++ b/internal/callerconn/callerconn_test.go
@@ -132,6 +132,47 @@
 	}
 }
 
+// TestFinishServesLastConnections guards against requests that are reset because no other connection was open when the
+// server began to end.
+func TestFinishServesLastConnections(t *testing.T) {
+	for n := range 20 {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			t.Parallel()
+			s := newTestServer(t)
+			s.serve()
+			c := s.dial()
+			if _, err := io.WriteString(c, get("/last")); err != nil {
+				t.Fatal(err)
+			}
+			s.finish()
+			if err := s.server.Close(); err != nil {
+				t.Fatal(err)
+			}
+			if got, err := readAnswer(c); err != nil || got != "/last" {
+				t.Errorf("answer %q, %v", got, err)
+			}
+		})
+	}
+}
+
+// TestPausedServerAcceptsQueue guards against connections that are reset because the process did not run while the last
+// ones were accepted.
+func TestPausedServerAcceptsQueue(t *testing.T) {
+	s := newTestServer(t)
+	c := s.dial()
+	if _, err := io.WriteString(c, get("/queued")); err != nil {
+		t.Fatal(err)
+	}
+	finished := make(chan struct{})
+	go func() { s.finish(); close(finished) }()
+	time.Sleep(drain.Linger + 30*time.Millisecond)
+	s.serve()
+	if got, err := readAnswer(c); err != nil || got != "/queued" {
+		t.Errorf("answer %q, %v", got, err)
+	}
+	<-finished
+}
+
 // TestFinishClosesIdleConnections guards against a server that does not end while callers keep connections open.
 func TestFinishClosesIdleConnections(t *testing.T) {
 	s := newTestServer(t)
