Answer requests that outlast the grace time of a stop

Callers saw: the end of their connection instead of an answer, when a call was still in progress at the end of the grace time.

Cause: the daemon closed the connections of such calls without cancelling them first.

Change: at the end of the grace time the gateway cancels its requests and gives their callers 0.15 s to take the answer (504, which promises nothing). Streams within their answer end with their connection as before. Found by the review.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -40,6 +40,8 @@
 const (
 	// stopMargin is the part of the grace time that is reserved for shutdown after draining.
 	stopMargin = 400 * time.Millisecond
+	// answerMargin is the part of stopMargin in which the callers of cancelled requests get an answer.
+	answerMargin = 150 * time.Millisecond
 	// headerTimeout and idleTimeout limit a caller's connection. Callers reuse connections that have been idle for most
 	// of the idle timeout in the configuration (routing.Limits), so idleTimeout is greater than all such timeouts.
 	headerTimeout  = 10 * time.Second
@@ -268,8 +270,8 @@
 }
 
 // drain reports the daemon as not ready and accepts connections until the balancer sends no more (see core/drain). It
-// then closes those that carry no request, and waits for the requests in progress, at most until stopMargin before the
-// end of the grace time.
+// then closes those that carry no request, and waits for the requests in progress. Those that last until stopMargin
+// before the end of the grace time are cancelled, so that their callers get an answer.
 func (d *Daemon) drain() {
 	now := time.Now()
 	stop := drain.Stop{BegunAt: now, EndAt: now.Add(time.Duration(d.settings.StopGrace) - stopMargin)}
@@ -280,9 +282,15 @@
 	time.Sleep(time.Until(stop.AcceptUntil()))
 	ctx, cancel := context.WithDeadline(context.Background(), stop.EndAt)
 	defer cancel()
-	if err := d.callers.Finish(ctx); err != nil {
-		log.Event("requests are cut off at the end of the grace time", "connections", d.callers.Count(),
-			"error", err.Error())
+	if err := d.callers.Finish(ctx); err == nil {
+		return
+	}
+	log.Event("requests are cut off at the end of the grace time", "connections", d.callers.Count())
+	d.gateway.CancelRequests()
+	ctx, cancel = context.WithTimeout(context.Background(), answerMargin)
+	defer cancel()
+	if err := d.callers.Wait(ctx); err != nil {
+		log.Event("connections are closed at the end of the grace time", "connections", d.callers.Count())
 	}
 }
 
--- a/internal/edge/stop_test.go
+++ b/internal/edge/stop_test.go
@@ -179,3 +179,26 @@
 		t.Error("the daemon did not stop")
 	}
 }
+
+// TestRequestAtEndOfGraceTimeGetsAnswer guards against a connection that ends without an answer because its request lasts
+// longer than the grace time.
+func TestRequestAtEndOfGraceTimeGetsAnswer(t *testing.T) {
+	t.Parallel()
+	d := newDeployment(t)
+	daemon := d.addDaemonAndAwaitPlacement()
+	for _, target := range append(d.engines, d.plain...) {
+		target.SetFaults(edgeplatform.TargetFaults{Hang: true})
+	}
+	results := make(chan result, 2)
+	header := map[string]string{"X-Deadline-Ms": "20000"}
+	for _, path := range []string{"/post/1", "/gen/1"} {
+		go func() { results <- d.callWithHeader(daemon, http.MethodPost, path, "long"+path, "key-1", "x", header) }()
+	}
+	d.waitUntil("both run", func() bool { return len(d.runsOf("long/post/1")) > 0 && len(d.runsOf("long/gen/1")) > 0 })
+	go daemon.drain()
+	for range cap(results) {
+		if got := <-results; got.err != nil || got.status < 500 || got.status == http.StatusServiceUnavailable {
+			t.Errorf("request that has run and did not end in time: %+v", got)
+		}
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -181,6 +181,15 @@
 // the stopping instance may be unable to finish.
 func (g *Gateway) StartDraining(stop drain.Stop) { g.stop.Store(&stop) }
 
+// CancelRequests cancels all requests in progress, as if their time had passed.
+func (g *Gateway) CancelRequests() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for q := range g.requests {
+		q.cancel(context.DeadlineExceeded)
+	}
+}
+
 // takes reports whether a request that arrives now and times out after timeout is served.
 func (g *Gateway) takes(timeout time.Duration) bool {
 	stop := g.stop.Load()
