Wait for silent plain targets while no other attempt may follow

Callers saw: a lookup answered 502 after 0.4 of its time although its target, silent for a second, would have answered in time, and no retry or other target was left.

Cause: the same as for streams: the attempt was cut short without asking whether another may follow. The watchdog of a stream also could take a retry for an attempt that had ended, read fields that the next attempt writes, and did not count a middle engine that has started again as ended.

Change: an attempt of a repeatable call is cancelled early only with its retry taken and another usable target left; the reservation of a retry belongs to the request and names the attempt; engines with another process are faulty.

--- a/internal/edge/silence_test.go
+++ b/internal/edge/silence_test.go
@@ -43,6 +43,15 @@
 			if got.status != http.StatusOK || len(d.runsOf("p1")) != 1 {
 				t.Errorf("posting: %+v, runs %+v", got, d.runsOf("p1"))
 			}
+			for _, target := range d.plain {
+				target.SetFaults(edgeplatform.TargetFaults{})
+				target.Silence(test.silentFor)
+			}
+			header := map[string]string{"X-Deadline-Ms": "2000"}
+			got = d.callWithHeader(daemon, http.MethodGet, "/read/1", "l1", "key-1", "", header)
+			if got.status != http.StatusOK {
+				t.Errorf("lookup: %+v", got)
+			}
 		})
 	}
 }
--- a/internal/emulator/edgeplatform/target.go
+++ b/internal/emulator/edgeplatform/target.go
@@ -175,6 +175,13 @@
 	}
 }
 
+// Silence makes the target fall silent now, as SilentFor does.
+func (t *Target) Silence(d time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.silentUntil = time.Now().Add(d)
+}
+
 // awaitEndOfSilence blocks while the target is silent.
 func (t *Target) awaitEndOfSilence() {
 	t.mu.Lock()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -218,6 +218,8 @@
 	lastKind errkind.Kind
 	// limited reports whether only the retry limit prevented a further attempt.
 	limited bool
+	// retryReserved reports whether the retry after the attempt in progress has been taken. Guarded by gateway.mu.
+	retryReserved bool
 	// attemptedTargets names the target or path of each attempt, for the log.
 	attemptedTargets []string
 	// bodyBytes is what the request has taken from the memory for response bodies.
@@ -366,10 +368,28 @@
 	delete(g.requests, q)
 }
 
-// takeRetry takes one retry from this instance's share of the retry limit and reports whether one was left.
+// reserveRetry takes the retry that follows an attempt before the attempt is cancelled for it, and reports whether one
+// was left. attempt is the context of that attempt.
+func (q *request) reserveRetry(attempt context.Context) bool {
+	q.gateway.mu.Lock()
+	defer q.gateway.mu.Unlock()
+	if attempt.Err() != nil || q.retryReserved {
+		return false
+	}
+	window, now, instances := q.gateway.retryState(q.service.ID)
+	q.retryReserved = window.TryAcquire(now, instances)
+	return q.retryReserved
+}
+
+// takeRetry takes one retry from this instance's share of the retry limit, unless one is reserved, and reports whether
+// one was left.
 func (q *request) takeRetry() bool {
 	q.gateway.mu.Lock()
 	defer q.gateway.mu.Unlock()
+	if q.retryReserved {
+		q.retryReserved = false
+		return true
+	}
 	window, now, instances := q.gateway.retryState(q.service.ID)
 	q.limited = !window.TryAcquire(now, instances)
 	return !q.limited
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -17,8 +17,8 @@
 	// maxSends is the maximum number of attempts of one request, including those that targets rejected without running
 	// them.
 	maxSends = 4
-	// repeatableTimeoutShare is the fraction of the remaining time that one attempt of a repeatable call may take if a
-	// further attempt is allowed, so that another target still has time to serve it.
+	// repeatableTimeoutShare is the fraction of the remaining time after which an attempt of a repeatable call is cancelled
+	// if another may follow, so that another target still has time to serve it.
 	repeatableTimeoutShare = 0.4
 )
 
@@ -39,7 +39,7 @@
 			return
 		}
 		tried[target.ID] = true
-		response, retry := q.attemptTarget(ctx, target)
+		response, retry := q.attemptTarget(ctx, target, tried)
 		if response != nil && !retry {
 			q.writeResponse(response)
 			return
@@ -62,9 +62,35 @@
 	return q.gateway.dispatcher.ChooseTarget(boottime.Now(), q.service.ID, tried)
 }
 
-// attemptTarget sends the call to a target. It returns the target's response, if there is one, and whether another
-// attempt is allowed and useful.
-func (q *request) attemptTarget(ctx context.Context, target *fleet.Target) (response *bufferedResponse, retry bool) {
+// limitAttempt cancels an attempt of a repeatable call after repeatableTimeoutShare of the remaining time if another
+// target and a retry are left then. An attempt that no other may follow gets all the time: its target may be silent for a
+// while and go on. The returned function ends this.
+func (q *request) limitAttempt(attempt context.Context, cancel context.CancelFunc,
+	tried map[entity.TargetID]bool) (stop func() bool) {
+	if !q.route.Repeatable() || q.runs+1 >= q.route.MaxAttempts || q.sends >= maxSends {
+		return func() bool { return true }
+	}
+	limit := time.Duration(repeatableTimeoutShare * float64(q.timeLeft()))
+	return time.AfterFunc(limit, func() {
+		if q.hasUntriedTarget(tried) && q.reserveRetry(attempt) {
+			cancel()
+		}
+	}).Stop
+}
+
+// hasUntriedTarget reports whether there is a target that is not in tried and not suspected.
+func (q *request) hasUntriedTarget(tried map[entity.TargetID]bool) bool {
+	q.gateway.mu.Lock()
+	defer q.gateway.mu.Unlock()
+	now := boottime.Now()
+	next := q.gateway.dispatcher.Fleet.ChoosePlain(now, q.service.ID, q.gateway.options.Zone, tried)
+	return next != nil && next.Usable(now)
+}
+
+// attemptTarget sends the call to a target, the last one in tried. It returns the target's response, if there is one, and
+// whether another attempt is allowed and useful.
+func (q *request) attemptTarget(ctx context.Context, target *fleet.Target,
+	tried map[entity.TargetID]bool) (response *bufferedResponse, retry bool) {
 	started := time.Now()
 	servedFor := time.Duration(0)
 	defer func() {
@@ -74,16 +100,15 @@
 	}()
 	q.sends++
 	q.attemptedTargets = append(q.attemptedTargets, string(target.ID))
-	repeatable := q.route.Repeatable()
+	attemptCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer q.limitAttempt(attemptCtx, cancel, tried)()
 	timeout := q.timeLeft()
-	if repeatable && q.runs+1 < q.route.MaxAttempts {
-		timeout = time.Duration(repeatableTimeoutShare * float64(timeout))
-	}
 	attempt := &Attempt{
 		Call: q.Call, Target: *target, Account: q.account.ID, Timeout: q.timeLeft(), LastEventID: q.LastEventID,
 	}
 	// A call that may run only once uses a new connection, since the target may already have closed a reused one.
-	x, err := q.gateway.send(ctx, attempt, !repeatable, timeout)
+	x, err := q.gateway.send(attemptCtx, attempt, !q.route.Repeatable(), timeout)
 	var body []byte
 	if err == nil && !x.head.NotRun {
 		body, err = x.readBody(q, timeout)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -52,8 +52,6 @@
 	rerouteMu sync.Mutex
 	// resumable reports whether another attempt may follow the one in progress.
 	resumable bool
-	// retryReserved reports whether the retry after the attempt in progress has been taken. Guarded by gateway.mu.
-	retryReserved bool
 	// headWritten reports whether the head of the response has been sent to the caller.
 	headWritten bool
 	// lastEventID is the id of the last event forwarded to the caller, events is the number of forwarded events.
@@ -94,7 +92,7 @@
 		if done {
 			return
 		}
-		if !retry || s.mayCrashEngines() || ctx.Err() != nil || q.sends >= maxSends || !s.takeRetry() {
+		if !retry || s.mayCrashEngines() || ctx.Err() != nil || q.sends >= maxSends || !q.takeRetry() {
 			s.endFailed()
 			return
 		}
@@ -151,10 +149,11 @@
 	attemptCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	s.register(attemptCtx, cancel)
+	resumable, sends := s.resumable, s.sends
 	s.watchdog = s.gateway.inspector.watch(attemptCtx, watchedAttempt{
 		requestID: s.ID, targets: s.targets, targetsWithoutProgress: s.targetsWithoutProgress,
-		stallTimeout: s.stallTimeout, replaceable: s.replaceable,
-		reserveRetry: s.reserveRetry, reroute: s.reroute, cancel: cancel,
+		stallTimeout: s.stallTimeout, replaceable: func() bool { return resumable && s.replaceable(sends) },
+		reserveRetry: func() bool { return s.reserveRetry(attemptCtx) }, reroute: s.reroute, cancel: cancel,
 	})
 	defer s.watchdog.stop()
 	sent := time.Now()
@@ -283,27 +282,9 @@
 	return firstEventTimeout
 }
 
-// reserveRetry takes the retry that follows the attempt in progress before that is cancelled.
-func (s *stream) reserveRetry() bool {
-	s.gateway.mu.Lock()
-	defer s.gateway.mu.Unlock()
-	window, now, instances := s.gateway.retryState(s.service.ID)
-	s.retryReserved = window.TryAcquire(now, instances)
-	return s.retryReserved
-}
-
-// takeRetry takes a retry unless one has been reserved, and reports whether one was left.
-func (s *stream) takeRetry() bool {
-	s.gateway.mu.Lock()
-	reserved := s.retryReserved
-	s.retryReserved = false
-	s.gateway.mu.Unlock()
-	return reserved || s.request.takeRetry()
-}
-
-// replaceable reports whether another attempt may follow the one in progress.
-func (s *stream) replaceable() bool {
-	if !s.resumable || s.sends >= maxSends {
+// replaceable reports whether another attempt may follow the one that is the attempt number sends.
+func (s *stream) replaceable(sends int) bool {
+	if sends >= maxSends {
 		return false
 	}
 	s.gateway.mu.Lock()
--- a/internal/gateway/watchdog.go
+++ b/internal/gateway/watchdog.go
@@ -228,7 +228,8 @@
 }
 
 // faultyTargets returns the engines of a path because of which the request makes no progress: those that return no
-// report and those that the first engine reports as stalling the request.
+// report or have started again, and those that the first engine reports as stalling the request. gone reports whether the
+// process of one of them has ended.
 func (i *inspector) faultyTargets(ctx context.Context, requestID string,
 	targets []fleet.Target) (faulty []fleet.Target, gone bool) {
 	reports := i.readReports(ctx, targets)
@@ -242,9 +243,10 @@
 		}
 	}
 	for n, target := range targets {
-		if reports[n].err != nil || stalledAt[target.Address] {
+		ended := reports[n].hasEnded(target)
+		if ended || reports[n].err != nil || stalledAt[target.Address] {
 			faulty = append(faulty, target)
-			gone = gone || reports[n].hasEnded(target)
+			gone = gone || ended
 		}
 	}
 	return faulty, gone
