Do not count the pause of a stopped process twice

Callers would see: a request answered 504, or a stream cut, before its time had passed, after the process was stopped and continued (SIGSTOP).

Cause: WatchPauses reports each time in which the process did not run, and the gateway moved all deadlines earlier by it. Timers count that time unless the machine was suspended. Class: a silence (here of the own process) taken for more than it is.

Change: a pause tells which part of it timers did not count, and only that part moves deadlines. Found by the review.

--- a/internal/boottime/boottime.go
+++ b/internal/boottime/boottime.go
@@ -28,22 +28,34 @@
 	minPause = 300 * time.Millisecond
 )
 
-// WatchPauses calls paused after each pause of the process, with its length, until ctx ends. A pause is a time in which
-// the process did not run, whether the machine was suspended or the process was stopped.
-func WatchPauses(ctx context.Context, paused func(d time.Duration)) {
+// Pause is a time in which the process did not run.
+type Pause struct {
+	// Length is how long the process did not run, whether the machine was suspended or the process was stopped.
+	Length time.Duration
+	// Suspended is the part of Length that the monotonic clock of package time, and so timers, did not count.
+	Suspended time.Duration
+}
+
+// WatchPauses calls paused after each pause of the process until ctx ends.
+func WatchPauses(ctx context.Context, paused func(p Pause)) {
 	ticker := time.NewTicker(checkPeriod)
 	defer ticker.Stop()
-	last := Now()
+	last, lastMonotonic := Now(), time.Now()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			now := Now()
-			if pause := now.Sub(last) - checkPeriod; pause >= minPause {
-				paused(pause)
+			now, monotonic := Now(), time.Now()
+			if p := pauseBetween(now.Sub(last), monotonic.Sub(lastMonotonic)); p.Length >= minPause {
+				paused(p)
 			}
-			last = now
+			last, lastMonotonic = now, monotonic
 		}
 	}
 }
+
+// pauseBetween returns the pause between two checks that are elapsed apart, and counted on the monotonic clock.
+func pauseBetween(elapsed, counted time.Duration) Pause {
+	return Pause{Length: elapsed - checkPeriod, Suspended: max(0, elapsed-counted)}
+}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -241,10 +241,11 @@
 
 // handlePause runs after the process was suspended. It closes idle pooled connections, which may be dead, and cancels
 // the requests whose deadline passed during the pause, so that they are answered at once.
-func (d *Daemon) handlePause(pause time.Duration) {
-	log.Event("daemon was paused", "for", pause.Round(time.Millisecond))
+func (d *Daemon) handlePause(pause boottime.Pause) {
+	log.Event("daemon was paused", "for", pause.Length.Round(time.Millisecond),
+		"suspended", pause.Suspended.Round(time.Millisecond))
 	d.pool.CloseExpired(time.Now().Add(time.Hour))
-	d.gateway.HandlePause(pause)
+	d.gateway.HandleSuspension(pause.Suspended)
 	d.tables.wake()
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -164,13 +164,13 @@
 	g.peakInstances = max(g.peakInstances, instances.All)
 }
 
-// HandlePause moves the deadlines of all requests earlier by a pause of the process, which timers do not count, and
-// cancels the requests whose deadline has passed.
-func (g *Gateway) HandlePause(pause time.Duration) {
+// HandleSuspension moves the deadlines of all requests earlier by a time in which the machine was suspended, which timers
+// do not count, and cancels the requests whose deadline has passed.
+func (g *Gateway) HandleSuspension(suspended time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for q := range g.requests {
-		q.deadline = q.deadline.Add(-pause)
+		q.deadline = q.deadline.Add(-suspended)
 		if time.Until(q.deadline) <= 0 {
 			q.cancel(context.DeadlineExceeded)
 		}
