--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"hash/fnv"
 	"net"
@@ -20,6 +21,7 @@
 	"github.com/hyssophoist/hyssophoist/core/entity"
 	"github.com/hyssophoist/hyssophoist/core/message"
 	"github.com/hyssophoist/hyssophoist/internal/callerapi"
+	"github.com/hyssophoist/hyssophoist/internal/callerconn"
 	"github.com/hyssophoist/hyssophoist/internal/certs"
 	"github.com/hyssophoist/hyssophoist/internal/engine"
 	"github.com/hyssophoist/hyssophoist/internal/metrics"
@@ -217,7 +219,8 @@
 		return ctx.Err()
 	}
 	log.Infof("draining: no request is in progress")
-	return d.caller.http.Shutdown(ctx)
+	// Requests that arrive now are refused, which http.Server.Shutdown would leave without an answer.
+	return d.caller.listener.Finish(ctx)
 }
 
 func (d *Daemon) adminHandler(admin AdminHandler) http.Handler {
@@ -242,7 +245,7 @@
 	name     string
 	options  settings.Listener
 	http     *http.Server
-	listener net.Listener
+	listener *callerconn.Listener
 }
 
 func newServer(name string, options settings.Listener, handler http.Handler) (*server, error) {
@@ -270,13 +273,15 @@
 	if err != nil {
 		return fmt.Errorf("open %s listener: %w", s.name, err)
 	}
-	s.listener = listener
+	s.listener = callerconn.Track(listener.(*net.TCPListener), callerconn.Options{})
+	s.http.ConnState = s.listener.SetState
 	wg.Go(func() {
 		serve := s.http.Serve
 		if s.http.TLSConfig != nil {
 			serve = func(l net.Listener) error { return s.http.ServeTLS(l, "", "") }
 		}
-		if err := serve(listener); err != http.ErrServerClosed {
+		err := serve(s.listener)
+		if !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, callerconn.ErrFinished) {
 			log.Errorf("%s listener failed: %v", s.name, err)
 		}
 	})
