--- a/internal/edge/deployment_test.go
+++ b/internal/edge/deployment_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"os"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -17,6 +18,7 @@
 	"go.uber.org/fx/fxevent"
 
 	"github.com/hyssophoist/hyssophoist/core/fleet"
+	"github.com/hyssophoist/hyssophoist/internal/boottime"
 	"github.com/hyssophoist/hyssophoist/internal/emulator/edgeplatform"
 	"github.com/hyssophoist/hyssophoist/internal/settings"
 )
@@ -152,6 +154,20 @@
 	return layers
 }
 
+// plainTargetsInService returns the ids of the targets of the service without layers that may get requests, in order.
+func (d *Daemon) plainTargetsInService() string {
+	var ids []string
+	d.gateway.WithFleet(func(f *fleet.Fleet) {
+		for id, state := range f.All {
+			if state.Card == "" && state.InService(boottime.Now()) {
+				ids = append(ids, string(id))
+			}
+		}
+	})
+	slices.Sort(ids)
+	return strings.Join(ids, " ")
+}
+
 // countHeldLayers returns how many distinct layers are held by at least one of the engines.
 func countHeldLayers(engines []*edgeplatform.Target) int {
 	var layers [modelLayers]bool
--- a/internal/emulator/edgeplatform/store.go
+++ b/internal/emulator/edgeplatform/store.go
@@ -5,6 +5,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -42,12 +43,21 @@
 	history []Row
 	faults  StoreFaults
 	calls   int
-	server  *httptest.Server
+	// era rises with each Restore.
+	era    uint64
+	server *httptest.Server
+}
+
+// StoreCopy is a copy of the content of a Store.
+type StoreCopy struct {
+	version uint64
+	rows    map[[2]string]Row
+	history []Row
 }
 
 // NewStore starts a store. Call Close to stop it.
 func NewStore() *Store {
-	s := &Store{rows: make(map[[2]string]Row), changed: make(chan struct{})}
+	s := &Store{rows: make(map[[2]string]Row), changed: make(chan struct{}), era: 1}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /api/rows-tx", s.transact)
 	mux.HandleFunc("GET /api/rows-get", s.get)
@@ -79,6 +89,29 @@
 	return s.calls
 }
 
+// Copy returns a copy of the content.
+func (s *Store) Copy() StoreCopy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return StoreCopy{version: s.version, rows: maps.Clone(s.rows), history: slices.Clone(s.history)}
+}
+
+// Restore replaces the content by a copy, as after the loss of what was acknowledged since. Open connections are reset.
+func (s *Store) Restore(content StoreCopy) {
+	s.mu.Lock()
+	s.version, s.rows, s.history = content.version, maps.Clone(content.rows), slices.Clone(content.history)
+	s.era++
+	s.mu.Unlock()
+	s.server.CloseClientConnections()
+}
+
+// Get returns the value of a row, or nil if there is none.
+func (s *Store) Get(table, key string) []byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.rows[[2]string{table, key}].Value
+}
+
 // Put writes a row as the operator or a target would.
 func (s *Store) Put(table, key string, value any) error {
 	content, err := json.Marshal(value)
@@ -126,6 +159,7 @@
 		s.mu.Lock()
 		s.calls++
 		down := s.faults.Down
+		w.Header().Set("Store-Era", strconv.FormatUint(s.era, 10))
 		s.mu.Unlock()
 		if down {
 			w.WriteHeader(http.StatusServiceUnavailable)
@@ -217,7 +251,7 @@
 	defer timer.Stop()
 	for {
 		s.mu.Lock()
-		lost := after < s.faults.HistoryFrom
+		lost := after < s.faults.HistoryFrom || after > s.version
 		rows := s.changesSince(query.Get("table"), after)
 		version, changed := s.version, s.changed
 		s.mu.Unlock()
--- a/internal/emulator/edgeplatform/target.go
+++ b/internal/emulator/edgeplatform/target.go
@@ -88,12 +88,14 @@
 	server *httptest.Server
 	mu     sync.Mutex
 	// advertised is the host:port in the target's entry. born counts the starts of the target.
-	advertised       string
-	born             int
-	faults           TargetFaults
-	runs             []Run
-	arrivals         []Arrival
-	refusals         int
+	advertised string
+	born       int
+	faults     TargetFaults
+	runs       []Run
+	arrivals   []Arrival
+	refusals   int
+	// entries counts the entries that Entry has returned.
+	entries          int
 	from             int
 	to               int
 	orderCount       int
@@ -279,11 +281,13 @@
 	t.from, t.to, t.maxOrderedLayers = from, to, maxOrderedLayers
 }
 
-// Entry returns the target's entry in the list of targets, with the given state.
+// Entry returns the target's next entry in the list of targets, with the given state.
 func (t *Target) Entry(state string) map[string]any {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.entries++
 	entry := map[string]any{
+		"seq":     t.entries,
 		"service": t.Service, "addr": t.advertised, "zone": t.Zone, "version": "v1", "slots": 8, "state": state, "born": t.born,
 	}
 	if t.Card != "" {
