Compare versions of the store together with its era

Callers saw: routes of a confirmed configuration refused with 404 or handled by an older one, and requests to targets that were leaving, after the store had come back from a copy.

Cause: versions of the store go back then and are given out again, while instances compared them as if they only rose. A read below the copy failed, rows that were not above it were dropped, a feed that had passed the old version skipped what lay below, and instances told each other versions without their era. Class: a number ordered beyond the scope in which it is.

Change: core/rowversion.Version is the era and the count of transactions in one ordered number. A copy tells its observer when it was restored.

--- a/core/loadshare/loadshare.go
+++ b/core/loadshare/loadshare.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/hyssophoist/hyssophoist/core/entity"
+	"github.com/hyssophoist/hyssophoist/core/rowversion"
 )
 
 const (
@@ -67,7 +68,7 @@
 // Versions holds the highest row versions that an instance has seen in the configuration and targets tables of the
 // store.
 type Versions struct {
-	Configuration, Targets uint64
+	Configuration, Targets rowversion.Version
 }
 
 // Member identifies an instance.
--- a/core/tablecache/cache.go
+++ b/core/tablecache/cache.go
@@ -14,6 +14,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/hyssophoist/hyssophoist/core/rowversion"
 )
 
 const (
@@ -29,18 +31,18 @@
 // Row is a row of a table, or its deletion if Deleted is set.
 type Row struct {
 	Key     string
-	Version uint64
+	Version rowversion.Version
 	Value   []byte
 	Deleted bool
 }
 
 // Batch holds rows of a table: all changes after the version After, or the whole table if Full is set.
 type Batch struct {
-	After uint64
+	After rowversion.Version
 	Full  bool
 	Rows  []Row
 	// Version is the version of the store up to which the batch is complete.
-	Version uint64
+	Version rowversion.Version
 	// Age is the time since the store confirmed that there are no changes after Version other than those in Rows.
 	Age time.Duration
 	// OutageAge is the time since the last failed read of an outage of the store that preceded this content; 0 if there
@@ -57,7 +59,7 @@
 	// Loaded reports whether the instance has a copy.
 	Loaded bool
 	// Version is the version up to which the copy is complete, and Age the time since the store confirmed it.
-	Version uint64
+	Version rowversion.Version
 	Age     time.Duration
 	// Failing reports whether a read of the store is known to have failed since it last confirmed the copy.
 	Failing bool
@@ -67,22 +69,26 @@
 type Change struct {
 	// Replaced reports whether Rows holds the whole table; it then has no deletions.
 	Replaced bool
+	// Restored reports whether the store has come back from an older copy: rows may be older than those known before,
+	// and lack what was acknowledged since.
+	Restored bool
 	// Rows holds the new and changed rows in the order of their versions.
 	Rows []Row
 	// OutageAt is the time of an outage that another instance has reported; zero if it is not new.
 	OutageAt time.Time
 }
 
-// Cache is an instance's copy of a table. Rows never go back to an earlier version. It is not safe for concurrent use.
+// Cache is an instance's copy of a table. Rows never go back to an earlier version, but versions of a later era of the
+// store can have an older content. It is not safe for concurrent use.
 type Cache struct {
 	loaded bool
 	// rows holds the rows by key, including deleted ones after completeSince.
 	rows       map[string]Row
 	tombstones int
 	// completeSince is the version after which rows holds all changes, including deletions.
-	completeSince uint64
+	completeSince rowversion.Version
 	// version is the version up to which rows is complete, newest the highest version of a row.
-	version, newest uint64
+	version, newest rowversion.Version
 	confirmedAt     time.Time
 	// failedSince and failedAt are the times of the first and the last failed read of this instance or another one. The
 	// reads before confirmedAt do not count.
@@ -96,10 +102,10 @@
 func (c *Cache) Loaded() bool { return c.loaded }
 
 // Version returns the version up to which the copy is complete.
-func (c *Cache) Version() uint64 { return c.version }
+func (c *Cache) Version() rowversion.Version { return c.version }
 
 // Newest returns the highest version of a row.
-func (c *Cache) Newest() uint64 { return c.newest }
+func (c *Cache) Newest() rowversion.Version { return c.newest }
 
 // ConfirmedAt returns the time at which the store last confirmed the copy.
 func (c *Cache) ConfirmedAt() time.Time { return c.confirmedAt }
@@ -195,9 +201,10 @@
 	return change
 }
 
-// replace replaces the copy by a whole table. Rows that are newer than the table stay.
+// replace replaces the copy by a whole table. Rows that are newer than the table stay; those of an earlier era of the
+// store are not.
 func (c *Cache) replace(batch Batch) Change {
-	previous := c.rows
+	previous, restored := c.rows, c.loaded && batch.Version.Era() > c.version.Era()
 	c.rows, c.tombstones = make(map[string]Row, len(batch.Rows)), 0
 	c.loaded, c.completeSince, c.version = true, batch.Version, batch.Version
 	for _, row := range batch.Rows {
@@ -208,7 +215,7 @@
 			c.put(row)
 		}
 	}
-	return Change{Replaced: true, Rows: c.Rows()}
+	return Change{Replaced: true, Restored: restored, Rows: c.Rows()}
 }
 
 func (c *Cache) put(row Row) {
--- a/core/tablecache/cache_test.go
+++ b/core/tablecache/cache_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/hyssophoist/hyssophoist/core/rowversion"
 	"github.com/hyssophoist/hyssophoist/internal/testenv"
 )
 
@@ -15,7 +16,7 @@
 
 func at(d time.Duration) time.Time { return start.Add(d) }
 
-func row(key string, version uint64) Row {
+func row(key string, version rowversion.Version) Row {
 	return Row{Key: key, Version: version, Value: []byte(fmt.Sprint(key, version))}
 }
 
@@ -41,7 +42,7 @@
 		name    string
 		batch   Batch
 		changed []string
-		version uint64
+		version rowversion.Version
 		rows    []string
 	}{
 		{"next changes", Batch{After: 2, Rows: []Row{row("a", 4)}, Version: 5}, []string{"a4"}, 5, []string{"b2", "a4"}},
@@ -178,10 +179,10 @@
 
 // modelStore is a table with its complete history.
 type modelStore struct {
-	version uint64
+	version rowversion.Version
 	history []Row
 	// changedAt is when each version was written.
-	changedAt map[uint64]time.Time
+	changedAt map[rowversion.Version]time.Time
 }
 
 func (s *modelStore) write(now time.Time, key string, deleted bool) {
@@ -193,8 +194,8 @@
 }
 
 // stateAt returns the rows as of a version.
-func (s *modelStore) stateAt(version uint64) map[string]uint64 {
-	rows := make(map[string]uint64)
+func (s *modelStore) stateAt(version rowversion.Version) map[string]rowversion.Version {
+	rows := make(map[string]rowversion.Version)
 	for _, r := range s.history {
 		if r.Version > version {
 			break
@@ -219,7 +220,7 @@
 	return batch
 }
 
-func (s *modelStore) changes(after uint64) Batch {
+func (s *modelStore) changes(after rowversion.Version) Batch {
 	latest := make(map[string]Row)
 	for _, r := range s.history {
 		if r.Version > after {
@@ -237,12 +238,12 @@
 // follower is a cache with the rows that an observer of its changes knows.
 type follower struct {
 	cache    Cache
-	observed map[string]uint64
+	observed map[string]rowversion.Version
 }
 
 func (f *follower) observe(change Change) {
 	if change.Replaced {
-		f.observed = make(map[string]uint64)
+		f.observed = make(map[string]rowversion.Version)
 	}
 	for _, r := range change.Rows {
 		if r.Deleted {
@@ -276,10 +277,10 @@
 }
 
 func runCaches(t *testing.T, random *rand.Rand) bool {
-	store := &modelStore{changedAt: make(map[uint64]time.Time)}
+	store := &modelStore{changedAt: make(map[rowversion.Version]time.Time)}
 	followers := make([]*follower, 4)
 	for i := range followers {
-		followers[i] = &follower{observed: make(map[string]uint64)}
+		followers[i] = &follower{observed: make(map[string]rowversion.Version)}
 	}
 	var pending []message
 	now := start
--- a/internal/edge/observers.go
+++ b/internal/edge/observers.go
@@ -5,6 +5,7 @@
 
 	"github.com/hyssophoist/hyssophoist/core/entity"
 	"github.com/hyssophoist/hyssophoist/core/fleet"
+	"github.com/hyssophoist/hyssophoist/core/rowversion"
 	"github.com/hyssophoist/hyssophoist/core/tablecache"
 	"github.com/hyssophoist/hyssophoist/internal/boottime"
 	"github.com/hyssophoist/hyssophoist/platform"
@@ -14,12 +15,12 @@
 type configurationObserver Daemon
 
 // Replaced implements watch.Observer.
-func (o *configurationObserver) Replaced(rows []tablecache.Row, version uint64) {
+func (o *configurationObserver) Replaced(rows []tablecache.Row, version rowversion.Version) {
 	o.Changed(rows, version)
 }
 
 // Changed implements watch.Observer.
-func (o *configurationObserver) Changed(rows []tablecache.Row, version uint64) {
+func (o *configurationObserver) Changed(rows []tablecache.Row, version rowversion.Version) {
 	defer o.sharer.TablesChanged()
 	for _, row := range rows {
 		if row.Key != platform.ConfigurationKey || row.Deleted {
@@ -55,7 +56,7 @@
 type targetObserver Daemon
 
 // Replaced implements watch.Observer.
-func (o *targetObserver) Replaced(rows []tablecache.Row, version uint64) {
+func (o *targetObserver) Replaced(rows []tablecache.Row, version rowversion.Version) {
 	listed := make(map[entity.TargetID]bool, len(rows))
 	for _, row := range rows {
 		listed[entity.TargetID(row.Key)] = true
@@ -67,7 +68,7 @@
 }
 
 // Changed implements watch.Observer.
-func (o *targetObserver) Changed(rows []tablecache.Row, version uint64) {
+func (o *targetObserver) Changed(rows []tablecache.Row, version rowversion.Version) {
 	defer o.sharer.TablesChanged()
 	for _, row := range rows {
 		o.apply(row)
--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -14,6 +14,7 @@
 	"github.com/hyssophoist/hyssophoist/core/entity"
 	"github.com/hyssophoist/hyssophoist/core/loadshare"
 	"github.com/hyssophoist/hyssophoist/core/quarantine"
+	"github.com/hyssophoist/hyssophoist/core/rowversion"
 	"github.com/hyssophoist/hyssophoist/core/tablecache"
 	"github.com/hyssophoist/hyssophoist/internal/logging"
 	"github.com/hyssophoist/hyssophoist/internal/peer"
@@ -98,7 +99,7 @@
 	mu    sync.Mutex
 	table *loadshare.Table
 	// highestConfiguration is the highest configuration version that other instances have reported.
-	highestConfiguration uint64
+	highestConfiguration rowversion.Version
 	// memberStates describes the copies of the members of the zone as far as this instance knows, for pushes to them.
 	memberStates map[entity.DaemonID]TableStates
 	// collectorStates describes the copies of the instance collectorID, the collector that last replied.
--- a/internal/loadshare/loadshare_test.go
+++ b/internal/loadshare/loadshare_test.go
@@ -17,6 +17,7 @@
 	"github.com/hyssophoist/hyssophoist/core/errkind"
 	"github.com/hyssophoist/hyssophoist/core/loadshare"
 	"github.com/hyssophoist/hyssophoist/core/quarantine"
+	"github.com/hyssophoist/hyssophoist/core/rowversion"
 	"github.com/hyssophoist/hyssophoist/core/tablecache"
 	"github.com/hyssophoist/hyssophoist/internal/peer"
 	"github.com/hyssophoist/hyssophoist/internal/platform"
@@ -28,16 +29,16 @@
 // to it.
 type fakeTables struct {
 	mu      sync.Mutex
-	version uint64
+	version rowversion.Version
 	role    tablecache.Role
 	roleSet bool
 	failing bool
 	// offeredAt is when each version was offered.
-	offeredAt map[uint64]time.Time
+	offeredAt map[rowversion.Version]time.Time
 }
 
-func newFakeTables(version uint64) *fakeTables {
-	return &fakeTables{version: version, offeredAt: make(map[uint64]time.Time)}
+func newFakeTables(version rowversion.Version) *fakeTables {
+	return &fakeTables{version: version, offeredAt: make(map[rowversion.Version]time.Time)}
 }
 
 func (f *fakeTables) Versions() (versions loadshare.Versions) { return versions }
@@ -103,13 +104,13 @@
 }
 
 // read sets the version, as a read of the store does.
-func (f *fakeTables) read(version uint64) {
+func (f *fakeTables) read(version rowversion.Version) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.version = version
 }
 
-func (f *fakeTables) offered(version uint64) (time.Time, bool) {
+func (f *fakeTables) offered(version rowversion.Version) (time.Time, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	at, found := f.offeredAt[version]
@@ -251,7 +252,7 @@
 		return known == len(tables)-1
 	})
 	arrived := 0
-	for version := uint64(2); version < 8; version++ {
+	for version := rowversion.Version(2); version < 8; version++ {
 		tables[0].read(version)
 		sharers[0].pushToZone(context.Background())
 		for _, f := range tables[1:] {
--- a/internal/watch/role_test.go
+++ b/internal/watch/role_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/hyssophoist/hyssophoist/core/rowversion"
 	"github.com/hyssophoist/hyssophoist/core/tablecache"
 )
 
@@ -45,7 +46,7 @@
 	observer := run(t, w)
 	awaitCalls(t, feed, 1)
 	end := time.Now().Add(2 * bound)
-	for version := uint64(6); time.Now().Before(end); version++ {
+	for version := rowversion.Version(6); time.Now().Before(end); version++ {
 		w.Offer(tablecache.Batch{After: version - 1, Version: version, Rows: []tablecache.Row{{Key: "0", Version: version}}})
 		time.Sleep(bound / 50)
 	}
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/hyssophoist/hyssophoist/core/retry"
+	"github.com/hyssophoist/hyssophoist/core/rowversion"
 	"github.com/hyssophoist/hyssophoist/core/tablecache"
 	"github.com/hyssophoist/hyssophoist/internal/boottime"
 	"github.com/hyssophoist/hyssophoist/internal/logging"
@@ -41,15 +42,15 @@
 	// Snapshot returns all rows of a table.
 	Snapshot(ctx context.Context, table string) (tablecache.Batch, error)
 	// Changes returns the changes of a table after a version. It blocks until there is one or wait has passed.
-	Changes(ctx context.Context, table string, after uint64, wait time.Duration) (tablecache.Batch, error)
+	Changes(ctx context.Context, table string, after rowversion.Version, wait time.Duration) (tablecache.Batch, error)
 }
 
 // Observer receives the rows that a watcher reads or is offered. Its methods are not called concurrently.
 type Observer interface {
 	// Replaced is called with all rows of the table, which replace those known before.
-	Replaced(rows []tablecache.Row, version uint64)
+	Replaced(rows []tablecache.Row, version rowversion.Version)
 	// Changed is called with changed rows in order.
-	Changed(rows []tablecache.Row, version uint64)
+	Changed(rows []tablecache.Row, version rowversion.Version)
 	// StoreLost is called after each failed read except for ErrHistoryLost. Confirmed is called after each successful
 	// read, even without changes: what is known is then up to date.
 	StoreLost(err error)
@@ -104,7 +105,7 @@
 	failures int
 	// peerVersion is the highest version that another instance has reported. lagSince is when a version above that of
 	// the cache was first reported; zero if there is none.
-	peerVersion uint64
+	peerVersion rowversion.Version
 	lagSince    time.Time
 	// cancelCall cancels the call in progress, which began at callStart.
 	cancelCall context.CancelCauseFunc
@@ -117,7 +118,7 @@
 }
 
 // NewestVersion returns the highest version of a row known, to be reported to other instances.
-func (w *Watcher) NewestVersion() uint64 {
+func (w *Watcher) NewestVersion() rowversion.Version {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return w.cache.Newest()
@@ -213,7 +214,7 @@
 }
 
 // deliver passes a change to the observer. The caller holds w.delivery.
-func (w *Watcher) deliver(change tablecache.Change, version uint64) {
+func (w *Watcher) deliver(change tablecache.Change, version rowversion.Version) {
 	if !change.OutageAt.IsZero() {
 		w.observer.OutageReported(change.OutageAt)
 	}
@@ -229,7 +230,7 @@
 // progress if a newer row has not arrived within maxLag. This detects a dead connection that returns no error and whose
 // keepalive probes are still answered, for instance by a proxy in front of the store. An instance that waits for rows
 // from others reads the store if a newer row has not arrived within maxSharedLag.
-func (w *Watcher) ObservePeerVersion(version uint64) {
+func (w *Watcher) ObservePeerVersion(version rowversion.Version) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	now := time.Now()
--- a/internal/watch/watch_test.go
+++ b/internal/watch/watch_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/hyssophoist/hyssophoist/core/rowversion"
 	"github.com/hyssophoist/hyssophoist/core/tablecache"
 )
 
@@ -39,7 +40,7 @@
 	return batch, err
 }
 
-func (s *scriptedFeed) Changes(ctx context.Context, _ string, after uint64, _ time.Duration) (tablecache.Batch, error) {
+func (s *scriptedFeed) Changes(ctx context.Context, _ string, after rowversion.Version, _ time.Duration) (tablecache.Batch, error) {
 	batch, err := s.next(ctx, "changes")
 	batch.After = after
 	return batch, err
@@ -57,14 +58,14 @@
 	r.seen = append(r.seen, text)
 }
 
-func (r *recorder) Replaced([]tablecache.Row, uint64) { r.record("replaced") }
-func (r *recorder) Changed([]tablecache.Row, uint64)  { r.record("changed") }
-func (r *recorder) StoreLost(error)                   { r.record("lost") }
-func (r *recorder) Confirmed()                        { r.record("confirmed") }
-func (r *recorder) OutageReported(time.Time)          { r.record("outage") }
+func (r *recorder) Replaced([]tablecache.Row, rowversion.Version) { r.record("replaced") }
+func (r *recorder) Changed([]tablecache.Row, rowversion.Version)  { r.record("changed") }
+func (r *recorder) StoreLost(error)                               { r.record("lost") }
+func (r *recorder) Confirmed()                                    { r.record("confirmed") }
+func (r *recorder) OutageReported(time.Time)                      { r.record("outage") }
 
 // reply returns a step with new rows of the given version.
-func reply(rows int, version uint64) func() (tablecache.Batch, error) {
+func reply(rows int, version rowversion.Version) func() (tablecache.Batch, error) {
 	return func() (tablecache.Batch, error) {
 		batch := tablecache.Batch{Version: version}
 		for i := range rows {
@@ -131,7 +132,7 @@
 	w := newReader(feed)
 	run(t, w)
 	// reportPeerVersion reports versions of other instances until the call is canceled or the limit has passed.
-	reportPeerVersion := func(version uint64, limit time.Duration) time.Duration {
+	reportPeerVersion := func(version rowversion.Version, limit time.Duration) time.Duration {
 		began := time.Now()
 		for feed.callCount() == 2 && time.Since(began) < limit {
 			w.ObservePeerVersion(version)
