Keep what is known of targets when the store comes back from a copy

Callers would see: requests sent to a target that was known to be leaving or gone, since the copy has it as ready (DRAIN).

Cause: the list of the restored store replaces what an instance knows, though it is older. Class: knowledge dropped because the row that it came from is gone.

Change: the fleet compares entries of before and after a restore by the start time of the target's process and the count of entries that the process has written.

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -48,6 +48,8 @@
 	// Born is the start time of the target's process in Unix milliseconds, or 0 if unknown. A restarted target may keep
 	// its ID but has lost all state.
 	Born int64
+	// Revision rises with each entry that the process writes; 0 if unknown.
+	Revision int64
 	// Card is the accelerator type of an engine.
 	Card string
 	// Layers is the range of model layers that an engine holds.
@@ -86,6 +88,12 @@
 	reachability        reachability
 	// removeAt is when a target that left the list during a store outage is dropped; zero for listed targets.
 	removeAt time.Time
+	// beforeRestore reports whether the entry was read before the store was restored from a copy, which may have an
+	// older one.
+	beforeRestore bool
+	// absentUntil is when a target that was known to be gone, and is in the list again since the store was restored,
+	// counts as alive; zero for others.
+	absentUntil time.Time
 }
 
 // Usable reports whether the target is in service and neither suspected nor down at time now.
@@ -93,10 +101,10 @@
 	return s.InService(now) && !now.Before(s.suspectUntil) && !s.Down(now)
 }
 
-// InService reports whether the target is listed, or within its removal grace period, and not draining. It may still be
-// suspected or down.
+// InService reports whether the target is listed, or within its removal grace period, and neither draining nor known to be
+// gone. It may still be suspected or down.
 func (s *State) InService(now time.Time) bool {
-	return !s.Draining && (s.removeAt.IsZero() || now.Before(s.removeAt))
+	return !s.Draining && (s.removeAt.IsZero() || now.Before(s.removeAt)) && !now.Before(s.absentUntil)
 }
 
 // Fleet is the table of targets of one instance.
@@ -107,11 +115,15 @@
 	// zone of this instance, including itself.
 	loadsSharedAt time.Time
 	zoneInstances int
+	// departed remembers the targets that were dropped, and departedBefore those dropped before the store was last
+	// restored from a copy, at restoredAt.
+	departed, departedBefore departures
+	restoredAt               time.Time
 }
 
 // New returns an empty fleet.
 func New() *Fleet {
-	return &Fleet{targets: table.New[entity.TargetID, State]()}
+	return &Fleet{targets: table.New[entity.TargetID, State](), departed: make(departures)}
 }
 
 // Get returns the state of a target, or nil if it is unknown.
@@ -120,20 +132,29 @@
 // All iterates over all targets in the order in which they were added.
 func (f *Fleet) All(yield func(entity.TargetID, *State) bool) { f.targets.All(yield) }
 
-// Put adds or updates a target. The recorded failures and limits of a restarted target are reset.
-func (f *Fleet) Put(target Target) {
+// Put adds or updates a target and reports true. It reports false if it keeps the entry that it has, because the given one
+// comes from the copy that the store was restored from and is older. The recorded failures and limits of a restarted
+// target are reset.
+func (f *Fleet) Put(target Target) bool {
 	state := f.targets.Get(target.ID)
 	if state == nil {
-		f.targets.Put(target.ID, &State{Target: target})
-		return
+		f.targets.Put(target.ID, &State{Target: target, absentUntil: f.absentUntil(target)})
+		return true
 	}
-	restarted := state.Born != target.Born
-	state.Target = target
 	state.removeAt = time.Time{}
+	if state.beforeRestore && target.olderThan(state.Target.Born, state.Target.Revision) {
+		return false
+	}
+	restarted := state.Born != target.Born
+	if restarted || target.Revision > state.Revision {
+		state.absentUntil = time.Time{}
+	}
+	state.Target, state.beforeRestore = target, false
 	if restarted {
 		state.consecutiveFailures, state.suspectUntil, state.limit, state.reachability =
 			0, time.Time{}, concurrencyLimit{}, reachability{}
 	}
+	return true
 }
 
 // Remove handles the removal of a target's entry from the list. During and shortly after a store outage the target
@@ -144,7 +165,7 @@
 		return
 	}
 	if f.lastStoreFailure.IsZero() || now.Sub(f.lastStoreFailure) > outageRemovalWindow {
-		f.targets.Delete(id)
+		f.drop(now, state)
 		return
 	}
 	if state.removeAt.IsZero() {
@@ -168,13 +189,15 @@
 	}
 }
 
-// Tick drops the targets whose removal grace period has ended.
+// Tick drops the targets whose removal grace period has ended, and forgets targets that were dropped long ago.
 func (f *Fleet) Tick(now time.Time) {
-	for id, state := range f.targets.All {
+	for _, state := range f.targets.All {
 		if !state.removeAt.IsZero() && !now.Before(state.removeAt) {
-			f.targets.Delete(id)
+			f.drop(now, state)
 		}
 	}
+	f.departed.prune(now)
+	f.departedBefore.prune(now)
 }
 
 // RecordFailure records that a target failed to serve a call and returns the time until which it is suspected.
--- a/internal/edge/observers.go
+++ b/internal/edge/observers.go
@@ -14,6 +14,9 @@
 // configurationObserver applies the operator's configuration to the gateway.
 type configurationObserver Daemon
 
+// StoreRestored implements watch.Observer. The gateway never goes back to a lower version of the configuration.
+func (o *configurationObserver) StoreRestored(uint64) {}
+
 // Replaced implements watch.Observer.
 func (o *configurationObserver) Replaced(rows []tablecache.Row, version rowversion.Version) {
 	o.Changed(rows, version)
@@ -55,6 +58,12 @@
 // targetObserver keeps the fleet of the gateway in step with the list of targets.
 type targetObserver Daemon
 
+// StoreRestored implements watch.Observer.
+func (o *targetObserver) StoreRestored(era uint64) {
+	o.gateway.WithFleet(func(f *fleet.Fleet) { f.StoreRestored(boottime.Now()) })
+	log.Event("list of targets comes from a copy", "era", era)
+}
+
 // Replaced implements watch.Observer.
 func (o *targetObserver) Replaced(rows []tablecache.Row, version rowversion.Version) {
 	listed := make(map[entity.TargetID]bool, len(rows))
@@ -90,13 +99,19 @@
 		return
 	}
 	var previous fleet.Target
+	taken := false
 	o.gateway.WithFleet(func(f *fleet.Fleet) {
 		if state := f.Get(id); state != nil {
 			previous = state.Target
 		}
-		f.Put(target)
+		taken = f.Put(target)
 	})
-	if previous == target {
+	if !taken {
+		log.Event("older entry of a target ignored", "target", id, "row", row.Version, "revision", target.Revision,
+			"known", previous.Revision)
+		return
+	}
+	if previous.Revision = target.Revision; previous == target {
 		return
 	}
 	if previous.Address != "" && previous.Address != target.Address {
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -47,6 +47,8 @@
 
 // Observer receives the rows that a watcher reads or is offered. Its methods are not called concurrently.
 type Observer interface {
+	// StoreRestored is called before the rows of a store that has come back from an older copy of its content.
+	StoreRestored(era uint64)
 	// Replaced is called with all rows of the table, which replace those known before.
 	Replaced(rows []tablecache.Row, version rowversion.Version)
 	// Changed is called with changed rows in order.
@@ -218,6 +220,9 @@
 	if !change.OutageAt.IsZero() {
 		w.observer.OutageReported(change.OutageAt)
 	}
+	if change.Restored {
+		w.observer.StoreRestored(version.Era())
+	}
 	switch {
 	case change.Replaced:
 		w.observer.Replaced(change.Rows, version)
--- a/internal/watch/watch_test.go
+++ b/internal/watch/watch_test.go
@@ -58,6 +58,7 @@
 	r.seen = append(r.seen, text)
 }
 
+func (r *recorder) StoreRestored(uint64)                          { r.record("restored") }
 func (r *recorder) Replaced([]tablecache.Row, rowversion.Version) { r.record("replaced") }
 func (r *recorder) Changed([]tablecache.Row, rowversion.Version)  { r.record("changed") }
 func (r *recorder) StoreLost(error)                               { r.record("lost") }
