Write the entry of an instance again after the store was restored

Callers would see: nothing at once; instances that start later do not find those whose entries are gone.

Cause: an instance writes its entry once. Class: a row that is relied on for ever because it was acknowledged.

Change: when the tables show a new era, each instance checks its entry within a second and writes it if it is missing.

--- a/internal/edge/observers.go
+++ b/internal/edge/observers.go
@@ -61,6 +61,7 @@
 // StoreRestored implements watch.Observer.
 func (o *targetObserver) StoreRestored(era uint64) {
 	o.gateway.WithFleet(func(f *fleet.Fleet) { f.StoreRestored(boottime.Now()) })
+	o.sharer.StoreRestored()
 	log.Event("list of targets comes from a copy", "era", era)
 }
 
--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -95,6 +95,8 @@
 	announce chan struct{}
 	// changed makes Run pass on changes of the store's tables.
 	changed chan struct{}
+	// restored makes syncMembers check the entry of this instance.
+	restored chan struct{}
 
 	mu    sync.Mutex
 	table *loadshare.Table
@@ -115,7 +117,7 @@
 	return &Sharer{
 		options: options, table: loadshare.New(options.Self),
 		client: peer.NewClient(peer.ClientOptions{CallTimeout: callTimeout}), announce: make(chan struct{}, 1),
-		changed: make(chan struct{}, 1), memberStates: make(map[entity.DaemonID]TableStates),
+		changed: make(chan struct{}, 1), restored: make(chan struct{}, 1), memberStates: make(map[entity.DaemonID]TableStates),
 	}
 }
 
--- a/internal/loadshare/members.go
+++ b/internal/loadshare/members.go
@@ -20,6 +20,8 @@
 	listRetryDelay  = time.Second
 	listLimit       = 500
 	storeTimeout    = time.Second
+	// relistSpread is the time over which all instances check their entries after the store was restored.
+	relistSpread = time.Second
 
 	instancesTable = "instances"
 )
@@ -50,10 +52,30 @@
 		select {
 		case <-ctx.Done():
 		case <-time.After(wait):
+		case <-s.restored:
+			registered = false
+			sleep(ctx, time.Duration(rand.Float64()*float64(relistSpread)))
 		}
 	}
 }
 
+// sleep returns after d or when ctx is done.
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+// StoreRestored makes this instance write its entry again if the list of instances lacks it: the store has come back from
+// an older copy of its content.
+func (s *Sharer) StoreRestored() {
+	select {
+	case s.restored <- struct{}{}:
+	default: // the entry is about to be checked
+	}
+}
+
 func (s *Sharer) isCollector() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
