Read the whole table once any call shows that the store was restored

Callers would see: a change that is not in force for up to 20 s at the only instance of a zone.

Cause: net/http sends a read again by itself when the store closes its connection. If the restored store has passed the old version by then, the call waits for changes after a version that means nothing any more, and only its answer shows the era.

Change: the era that any call shows makes the watchers of both tables cancel such a call and read the whole table.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -102,11 +102,7 @@
 }
 
 func newStore(s *settings.Edge) *platform.Store {
-	store := platform.NewStore(s.Store.Address, time.Duration(s.Store.Timeout))
-	store.OnRestore = func(before, era uint64) {
-		log.Event("store was restored from a copy", "era", era, "before", before)
-	}
-	return store
+	return platform.NewStore(s.Store.Address, time.Duration(s.Store.Timeout))
 }
 
 func newPlacer(s *settings.Edge, g *gateway.Gateway, engines *platform.EngineClient, store *platform.Store,
@@ -131,6 +127,10 @@
 	t *tables, p *placer.Placer, sharer *loadshare.Sharer, m *Metrics) *Daemon {
 	m.registerTables(t)
 	m.registerStore(store)
+	store.OnRestore = func(before, era uint64) {
+		log.Event("store was restored from a copy", "era", era, "before", before)
+		t.observeEra(era)
+	}
 	m.registerGateway(g)
 	g.OnCrash(sharer.Announce)
 	d := &Daemon{
--- a/internal/edge/tables.go
+++ b/internal/edge/tables.go
@@ -53,6 +53,12 @@
 	t.targets.ObservePeerVersion(versions.Targets)
 }
 
+// observeEra records the era of the store that a call has shown.
+func (t *tables) observeEra(era uint64) {
+	t.configuration.ObserveEra(era)
+	t.targets.ObserveEra(era)
+}
+
 // States implements loadshare.Tables.
 func (t *tables) States() loadshare.TableStates {
 	return loadshare.TableStates{Configuration: t.configuration.State(), Targets: t.targets.State()}
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -70,6 +70,9 @@
 // errRoleChanged means that a call was canceled because other instances now rely on this reader.
 var errRoleChanged = errors.New("the reader role has changed")
 
+// errRestored means that a call was canceled because another one has shown that the store was restored.
+var errRestored = errors.New("the store was restored from a copy during the call")
+
 // errOldAnswer means that the store answered with an older state than it has shown before.
 var errOldAnswer = errors.New("store answered with an older version than the copy has")
 
@@ -255,6 +258,21 @@
 	}
 }
 
+// ObserveEra records the era of the store that a call for something else has shown. If it is a later one than that of the
+// copy, the next read is one of the whole table: a call for the changes after the version of the copy, like one in
+// progress, would wait for a version that the store may already have passed.
+func (w *Watcher) ObserveEra(era uint64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.cache.Loaded() || w.cache.Version().Era() >= era {
+		return
+	}
+	w.needSnapshot = true
+	if w.cancelCall != nil {
+		w.cancelCall(errRestored)
+	}
+}
+
 // Run follows the table until ctx ends.
 func (w *Watcher) Run(ctx context.Context, observer Observer) {
 	w.delivery.Lock()
@@ -267,7 +285,7 @@
 		switch {
 		case ctx.Err() != nil:
 			return
-		case errors.Is(err, errRoleChanged):
+		case errors.Is(err, errRoleChanged), errors.Is(err, errRestored):
 		case errors.Is(err, ErrHistoryLost):
 			w.recordHistoryLoss()
 		case err != nil:
@@ -386,7 +404,7 @@
 	w.cancelCall = nil
 	w.mu.Unlock()
 	if err != nil {
-		for _, reason := range []error{errLagging, errRoleChanged} {
+		for _, reason := range []error{errLagging, errRoleChanged, errRestored} {
 			if errors.Is(context.Cause(ctx), reason) {
 				return tablecache.Batch{}, reason
 			}
