Keep one holder of the lease and rising fencing numbers across a restore

Callers would see: orders of two instances at the same time with the same fencing number, so that engines load the wrong layers, after the store has come back from a copy without the row of the holder.

Cause: the lease relies on its row: one that is gone or released in the copy was taken at once, with the next number after that in the copy, while its holder went on; and the condition of a write can hold by chance.

Change: records name the era of the store. A row from before a restore, or a missing one, may hide a holder, for which a daemon waits a lease and an order; a holder loses its lease when it sees a new era. Fencing numbers lie above each version of the store that an earlier holder can have known.

--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/hyssophoist/hyssophoist/core/entity"
+	"github.com/hyssophoist/hyssophoist/core/rowversion"
 )
 
 // Defaults of Options.
@@ -33,6 +34,8 @@
 	Incarnation uint64          `json:"incarnation"`
 	// Fencing is the fencing number. It rises with every change of the holder and never falls.
 	Fencing uint64 `json:"fencing"`
+	// Era is the era of the store in which the record was written (see core/rowversion); 0 if the store has none.
+	Era uint64 `json:"era,omitempty"`
 	// ChangeID identifies the write. A holder that received no response looks for it in the row.
 	ChangeID string `json:"change_id"`
 	// DurationMS is the duration of the lease and OrderDeadlineMS the holder's order deadline, in milliseconds.
@@ -124,6 +127,9 @@
 	note          string
 	// pendingOrderDeadline is the deadline of the last order if the target has not answered it.
 	pendingOrderDeadline time.Time
+	// era is the highest era of the store known, and restoredAt when it was first known, unless it is the first one.
+	era        uint64
+	restoredAt time.Time
 }
 
 // New returns a lease that this daemon does not hold.
@@ -160,6 +166,25 @@
 // OrderEnded records that the target has answered the order.
 func (l *Lease) OrderEnded() { l.pendingOrderDeadline = time.Time{} }
 
+// firstEra is the era of a store that has never been restored.
+const firstEra = 1
+
+// SetEra records the era of the store, which rises each time the store comes back from an older copy of its content. The
+// row of a holder may be gone then, so the lease is lost. Rows that are read carry the era too; SetEra is for what else
+// shows it, and must be called with the era of what this daemon has read before it needs the lease.
+func (l *Lease) SetEra(now time.Time, era uint64) {
+	if era <= l.era {
+		return
+	}
+	l.era = era
+	if era == firstEra {
+		return
+	}
+	l.restoredAt = now
+	l.held, l.rowCurrent = false, false
+	clear(l.writeTimes)
+}
+
 // SetNote sets the text that later writes store in the row for other daemons.
 func (l *Lease) SetNote(note string) { l.note = note }
 
@@ -187,7 +212,7 @@
 	}
 	if l.canAcquire(now) {
 		l.lastProgress = now
-		return l.write(now, l.row.Record.Fencing+1, false)
+		return l.write(now, l.nextFencing(), false)
 	}
 	// The row is read again before a takeover, since the holder may renew the lease.
 	l.rowCurrent = false
@@ -215,18 +240,34 @@
 }
 
 // canAcquire reports whether this daemon may take the lease: the row does not exist, was released, or has been
-// unchanged for the duration of the lease plus the holder's order deadline.
+// unchanged for the duration of the lease plus the holder's order deadline. A row that the store has from before it was
+// restored, or that it lacks since, may hide a later holder, for which the daemon waits as long.
 func (l *Lease) canAcquire(now time.Time) bool {
 	record := l.row.Record
-	if l.row.Version == 0 || record.Released {
+	if record.Era < l.era && now.Sub(l.restoredAt) < l.options.Duration+l.options.OrderDeadline {
+		return false
+	}
+	if l.row.Version == 0 || record.Released && record.Era == l.era {
 		return true
 	}
 	return now.Sub(l.observedAt) >= time.Duration(record.DurationMS+record.OrderDeadlineMS)*time.Millisecond
 }
 
+// nextFencing returns a fencing number above those of all earlier holders. Records of holders can be lost when the store is
+// restored, or be overwritten by a daemon that does not know of that yet, so the number is also above each version of the
+// store that an earlier holder can have known. Fencing numbers of the first era are as small as its versions.
+func (l *Lease) nextFencing() uint64 {
+	next := l.row.Record.Fencing + 1
+	if l.era == 0 {
+		return next
+	}
+	version := max(rowversion.Version(l.row.Version), rowversion.New(l.era, 1))
+	return max(next, uint64(rowversion.New(version.Era()-1, version.Counter())))
+}
+
 func (l *Lease) write(now time.Time, fencing uint64, release bool) Action {
 	l.pendingWrite = Record{
-		Holder: l.options.Daemon, Incarnation: l.options.Incarnation, Fencing: fencing,
+		Holder: l.options.Daemon, Incarnation: l.options.Incarnation, Fencing: fencing, Era: l.era,
 		ChangeID: l.options.ChangeID(), Released: release, Note: l.note,
 		DurationMS: l.options.Duration.Milliseconds(), OrderDeadlineMS: l.options.OrderDeadline.Milliseconds(),
 	}
@@ -263,6 +304,11 @@
 // observe records a row. This daemon holds the lease if the row has the change id of one of its writes; the duration
 // then counts from when that write was issued, however late it took effect.
 func (l *Lease) observe(now time.Time, row Row) {
+	if row.Version != 0 && rowversion.Version(row.Version).Era() < l.era {
+		l.rowCurrent = false // the answer was on its way while the store was restored
+		return
+	}
+	l.SetEra(now, rowversion.Version(row.Version).Era())
 	if row.Version != l.row.Version || row.Record.ChangeID != l.row.Record.ChangeID {
 		l.observedAt = now
 	}
--- a/core/lease/lease_test.go
+++ b/core/lease/lease_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/hyssophoist/hyssophoist/core/entity"
+	"github.com/hyssophoist/hyssophoist/core/rowversion"
 	"github.com/hyssophoist/hyssophoist/core/virtualtime"
 	"github.com/hyssophoist/hyssophoist/internal/testenv"
 )
@@ -45,8 +46,23 @@
 	engine       engine
 	desired      int
 	lastChangeID int
+	// restores reports whether the store comes back from older copies. era and counter are those of its version, and
+	// copies holds its earlier states. Without restores, the store has no eras.
+	restores     bool
+	era, counter uint64
+	copies       []copiedRow
+	// lastHolder is the daemon that gave the last order, with the fencing number of that order.
+	lastHolder        *daemon
+	lastHolderFencing uint64
 	// Counts of the events that the run has covered.
-	orders, takeovers, staleOrders, lateOrders int
+	orders, takeovers, staleOrders, lateOrders, restored, overwritten int
+}
+
+// copiedRow is a state of the store at a time.
+type copiedRow struct {
+	row     Row
+	counter uint64
+	at      time.Duration
 }
 
 func newSimulation(seed uint64, fenced bool) *simulation {
@@ -97,6 +113,9 @@
 	d := s.daemons[index]
 	s.scheduler.RunIn(&d.process, s.between(50*time.Millisecond, 150*time.Millisecond), func() { s.tick(index) })
 	d.want = s.engine.state != s.desired
+	if s.random.IntN(4) == 0 {
+		d.lease.SetEra(s.clock(), s.era) // calls for something else show it
+	}
 	if !d.want {
 		d.lease.Progressed(s.clock())
 	}
@@ -118,10 +137,17 @@
 		return
 	}
 	s.network.Call(&d.process, 2*time.Second, func() func() {
-		if s.row.Version != action.ExpectedVersion {
+		expected, current := rowversion.Version(action.ExpectedVersion), rowversion.Version(s.row.Version)
+		if expected.Counter() != current.Counter() {
 			row := s.row
 			return func() { d.lease.Handle(s.clock(), Conflicted{Row: row}) }
 		}
+		if expected != 0 && expected.Era() != current.Era() {
+			// The condition does not name the era and holds by chance.
+			s.overwritten++
+			s.store(d, action.Record)
+			return func() { d.lease.Handle(s.clock(), WriteUnknown{}) }
+		}
 		if action.Record.Fencing < s.row.Record.Fencing {
 			s.fail("fencing number decreased from %d to %d", s.row.Record.Fencing, action.Record.Fencing)
 		}
@@ -132,14 +158,40 @@
 		if action.Record.Fencing > s.row.Record.Fencing {
 			s.takeovers++
 		}
-		s.row = Row{Version: action.ExpectedVersion + 1, Record: action.Record}
-		s.logf("row v%d %s.%d fencing=%d released=%v", s.row.Version, d.id, d.incarnation, action.Record.Fencing,
-			action.Record.Released)
+		s.store(d, action.Record)
 		version := s.row.Version
 		return func() { d.lease.Handle(s.clock(), Committed{Version: version}) }
 	}, func() { d.lease.Handle(s.clock(), WriteUnknown{}) })
 }
 
+// store writes the record of a daemon.
+func (s *simulation) store(d *daemon, record Record) {
+	s.counter++
+	s.row = Row{Version: uint64(rowversion.New(s.era, s.counter)), Record: record}
+	s.logf("row v%v %s.%d fencing=%d released=%v", rowversion.Version(s.row.Version), d.id, d.incarnation, record.Fencing,
+		record.Released)
+	s.copies = append(s.copies, copiedRow{row: s.row, counter: s.counter, at: s.scheduler.Now()})
+}
+
+// restore replaces the content of the store by that of a time up to 20 s ago.
+func (s *simulation) restore() {
+	at := s.scheduler.Now() - s.between(0, 20*time.Second)
+	content := copiedRow{}
+	for _, copied := range s.copies {
+		if copied.at <= at {
+			content = copied
+		}
+	}
+	s.era++
+	s.row, s.counter = content.row, content.counter
+	if s.row.Version != 0 {
+		s.row.Version = uint64(rowversion.New(s.era, rowversion.Version(s.row.Version).Counter()))
+	}
+	s.copies = []copiedRow{{row: s.row, counter: s.counter, at: s.scheduler.Now()}}
+	s.restored++
+	s.logf("store restored, era %d, row v%v", s.era, rowversion.Version(s.row.Version))
+}
+
 // giveOrder gives an order if the daemon holds the lease, and checks that no other daemon holds it at the same time.
 func (s *simulation) giveOrder(d *daemon) {
 	fencing, remaining, ok := d.lease.Holds(s.clock())
@@ -154,6 +206,11 @@
 			}
 		}
 	}
+	if s.lastHolder != nil && s.lastHolder != d && fencing <= s.lastHolderFencing {
+		s.fail("%s gives an order with fencing number %d after %s gave one with %d", d.id, fencing, s.lastHolder.id,
+			s.lastHolderFencing)
+	}
+	s.lastHolder, s.lastHolderFencing = d, fencing
 	s.orders++
 	value, issued := s.desired, s.scheduler.Now()
 	d.orderPending = true
@@ -182,6 +239,9 @@
 	}
 	index := s.random.IntN(len(s.daemons))
 	d := s.daemons[index]
+	if s.restores && s.random.IntN(3) == 0 {
+		s.restore()
+	}
 	switch s.random.IntN(6) {
 	case 0, 1:
 		d.process.PausedUntil = s.scheduler.Now() + s.between(10*time.Millisecond, 40*time.Second)
@@ -189,6 +249,7 @@
 	case 2:
 		d.process.Dead = true
 		s.daemons[index] = s.newDaemon(d.id, d.incarnation+1)
+		s.daemons[index].lease.SetEra(s.clock(), s.era) // a daemon reads the tables of the store before it needs the lease
 		s.scheduler.RunIn(&s.daemons[index].process, s.between(0, 5*time.Second), func() { s.tick(index) })
 		s.logf("crash and restart of %s", d.id)
 	case 3:
@@ -237,11 +298,27 @@
 // HYSSOPHOIST_STEPS events in simulations of 20,000 events. The first has the seed HYSSOPHOIST_SEED, each further one
 // the next seed.
 func TestRandomisedLease(t *testing.T) {
+	runSimulations(t, false)
+}
+
+// TestRandomisedLeaseAcrossRestores guards against the same while the store comes back from older copies of its content,
+// in which the row of a holder is missing, older, or overwritten by a daemon that does not know of the restore.
+func TestRandomisedLeaseAcrossRestores(t *testing.T) {
+	runSimulations(t, true)
+}
+
+func runSimulations(t *testing.T, restores bool) {
 	seed, steps := testenv.Seed(t, 1), int(testenv.Steps(t, defaultSteps()))
 	var total simulation
 	stepsDone := 0
 	for ; stepsDone < steps; seed++ {
 		s := newSimulation(seed, seed%2 == 0)
+		if restores {
+			s.restores, s.era = true, 1
+			for _, d := range s.daemons {
+				d.lease.SetEra(s.clock(), s.era)
+			}
+		}
 		for s.scheduler.Steps() < min(20_000, steps-stepsDone) && (s.failure == "" && s.scheduler.Step()) {
 		}
 		s.checkConvergence()
@@ -254,9 +331,11 @@
 		total.takeovers += s.takeovers
 		total.staleOrders += s.staleOrders
 		total.lateOrders += s.lateOrders
+		total.restored += s.restored
+		total.overwritten += s.overwritten
 	}
-	t.Logf("%d steps, %d orders, %d late orders, %d takeovers, %d stale orders", stepsDone, total.orders,
-		total.lateOrders, total.takeovers, total.staleOrders)
+	t.Logf("%d steps, %d orders, %d late orders, %d takeovers, %d stale orders, %d restores, %d overwritten rows", stepsDone,
+		total.orders, total.lateOrders, total.takeovers, total.staleOrders, total.restored, total.overwritten)
 }
 
 // TestLeaseNotRenewedWithoutProgress guards against a holder that keeps renewing its lease although its work makes no
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -105,10 +105,11 @@
 	return platform.NewStore(s.Store.Address, time.Duration(s.Store.Timeout))
 }
 
-func newPlacer(s *settings.Edge, g *gateway.Gateway, engines *platform.EngineClient, store *platform.Store,
+func newPlacer(s *settings.Edge, g *gateway.Gateway, engines *platform.EngineClient, store *platform.Store, t *tables,
 	sharer *loadshare.Sharer, m *Metrics) *placer.Placer {
 	return placer.New(placer.Options{
 		Daemon: entity.DaemonID(s.Daemon), View: g, Engines: engines, Table: store, Rank: sharer.CollectorRank,
+		Era:        t.era,
 		OrderGiven: func(o placer.Outcome) { m.Orders.WithLabelValues(o.String()).Inc() },
 	})
 }
--- a/internal/edge/tables.go
+++ b/internal/edge/tables.go
@@ -53,6 +53,11 @@
 	t.targets.ObservePeerVersion(versions.Targets)
 }
 
+// era returns the highest era of the store that the copies show.
+func (t *tables) era() uint64 {
+	return max(t.configuration.State().Version, t.targets.State().Version).Era()
+}
+
 // observeEra records the era of the store that a call has shown.
 func (t *tables) observeEra(era uint64) {
 	t.configuration.ObserveEra(era)
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -113,6 +113,8 @@
 	// Rank returns the number of instances that should act before this one. It reports false if this instance leaves
 	// placement to others.
 	Rank func() (rank int, candidate bool)
+	// Era, if set, returns the era of the store in the tables that the orders are planned by (see core/rowversion).
+	Era func() uint64
 	// OrderGiven, if set, is called with the outcome of each order.
 	OrderGiven func(outcome Outcome)
 }
@@ -193,6 +195,9 @@
 
 func (p *Placer) step(ctx context.Context) {
 	now := boottime.Now()
+	if p.options.Era != nil {
+		p.lease.SetEra(now, p.options.Era())
+	}
 	if p.stopping.Load() {
 		p.stepLease(ctx, now, false)
 		return
