Take a released lease 2.5 s after a restore is known

Cause: a row that is released in the copy was taken only after it had been watched for 2.5 s, which began when the lease was first wanted. A hidden holder renewed its lease for the last time before the restore, so that the time since the restore became known is enough.

--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -247,7 +247,7 @@
 	if record.Era < l.era && now.Sub(l.restoredAt) < l.options.Duration+l.options.OrderDeadline {
 		return false
 	}
-	if l.row.Version == 0 || record.Released && record.Era == l.era {
+	if l.row.Version == 0 || record.Released {
 		return true
 	}
 	return now.Sub(l.observedAt) >= time.Duration(record.DurationMS+record.OrderDeadlineMS)*time.Millisecond
