Let targets fall silent for a second in the soak

Cause: the soak had targets that hang, stall or crash, but none that keeps its connections, says nothing for 0.5 to 1.5 s and goes on, as the users' targets do.

Change: a fault "target silent", at the next request or after some events of a stream. It reserves nothing, so it overlaps all other faults; UpdateFaults of the emulated target lets a silence and another misbehaviour of one target stand beside each other.

--- a/internal/emulator/edgeplatform/target.go
+++ b/internal/emulator/edgeplatform/target.go
@@ -243,6 +243,13 @@
 	t.faults = faults
 }
 
+// UpdateFaults changes the faults while no request reads them.
+func (t *Target) UpdateFaults(update func(*TargetFaults)) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	update(&t.faults)
+}
+
 // Runs returns the requests that the target has started to run.
 func (t *Target) Runs() []Run {
 	t.mu.Lock()
--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -11,6 +11,12 @@
 	"github.com/hyssophoist/hyssophoist/internal/faultproxy"
 )
 
+const (
+	// minSilence and maxSilence bound how long a target is silent.
+	minSilence = 500 * time.Millisecond
+	maxSilence = 1500 * time.Millisecond
+)
+
 // faultInjector injects faults that overlap.
 type faultInjector struct {
 	env     *environment
@@ -20,7 +26,8 @@
 	mu        sync.Mutex
 	completed []string
 	// reserved holds the daemons, targets, emulated servers of targets and the store that a fault has reserved. A second
-	// fault that needs the same one is skipped. Faults of connections and changes of the configuration reserve nothing.
+	// fault that needs the same one is skipped. Faults of connections, silences of targets and changes of the configuration
+	// reserve nothing.
 	reserved map[any]bool
 }
 
@@ -37,6 +44,7 @@
 	{"target connections blocked or slow", (*faultInjector).targetBlockedOrSlow},
 	{"target connections reset or silent", (*faultInjector).targetResetOrSilent},
 	{"target misbehaves", (*faultInjector).targetMisbehaves},
+	{"target silent", (*faultInjector).targetSilent},
 	{"target crashes", (*faultInjector).targetCrashes},
 	{"target drains", (*faultInjector).targetDrains},
 	{"daemon paused", (*faultInjector).daemonPaused},
@@ -155,12 +163,32 @@
 		return skipped
 	}
 	defer f.release(t.Target)
-	t.SetFaults(variant)
+	t.setMisbehaviour(variant)
 	time.Sleep(duration)
-	t.SetFaults(edgeplatform.TargetFaults{})
+	t.setMisbehaviour(edgeplatform.TargetFaults{})
 	return fmt.Sprintf("%s, %+v", t.ID, variant)
 }
 
+// setMisbehaviour replaces the faults of a target except for its silence.
+func (t *target) setMisbehaviour(faults edgeplatform.TargetFaults) {
+	t.UpdateFaults(func(current *edgeplatform.TargetFaults) {
+		faults.SilentFor, faults.SilentAfter = current.SilentFor, current.SilentAfter
+		*current = faults
+	})
+}
+
+// targetSilent makes a target fall silent once, at its next request or after some events of a stream.
+func (f *faultInjector) targetSilent(random *rand.Rand, _ time.Duration) string {
+	t := f.randomTarget(random)
+	silence := minSilence + time.Duration(random.Int64N(int64(maxSilence-minSilence)))
+	after := 0
+	if t.Card != "" {
+		after = random.IntN(streamEvents)
+	}
+	t.UpdateFaults(func(faults *edgeplatform.TargetFaults) { faults.SilentFor, faults.SilentAfter = silence, after })
+	return fmt.Sprintf("%s, silent for %v after %d events", t.ID, silence, after)
+}
+
 // targetCrashes restarts a target without its state. Its entry expires if the target is unreachable for more than
 // entryTTL.
 func (f *faultInjector) targetCrashes(random *rand.Rand, duration time.Duration) string {
