Stop daemons of the soak in series, with further signals

Cause: planned stops came one at a time. The users' stops come in series and overlap, beside changes of the configuration.

Change: a fault "daemons stopped in series" stops all daemons in random order, the next one 0.1 to 1.35 s after the last, while a stop takes up to 5 s. Half of all stops get a second SIGTERM or a SIGHUP on the way. The new kinds of faults are appended and the regression cases choose from the 15 kinds that they failed with, so that their seeds keep their faults.

--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -19,8 +19,10 @@
 
 // faultInjector injects faults that overlap.
 type faultInjector struct {
-	env     *environment
-	random  *rand.Rand
+	env    *environment
+	random *rand.Rand
+	// kinds is the number of faultKinds that step chooses from.
+	kinds   int
 	running sync.WaitGroup
 
 	mu        sync.Mutex
@@ -31,7 +33,8 @@
 	reserved map[any]bool
 }
 
-// faultKinds are the faults that step chooses from. The duration of each fault is random.
+// faultKinds are the faults that step chooses from. The duration of each fault is random. New ones are appended, so that
+// the seeds of regressions keep their faults.
 var faultKinds = []struct {
 	name   string
 	inject func(f *faultInjector, random *rand.Rand, duration time.Duration) string
@@ -44,7 +47,6 @@
 	{"target connections blocked or slow", (*faultInjector).targetBlockedOrSlow},
 	{"target connections reset or silent", (*faultInjector).targetResetOrSilent},
 	{"target misbehaves", (*faultInjector).targetMisbehaves},
-	{"target silent", (*faultInjector).targetSilent},
 	{"target crashes", (*faultInjector).targetCrashes},
 	{"target drains", (*faultInjector).targetDrains},
 	{"daemon paused", (*faultInjector).daemonPaused},
@@ -52,11 +54,13 @@
 	{"daemon stopped", (*faultInjector).daemonStopped},
 	{"daemon hangup", (*faultInjector).daemonHangup},
 	{"configuration", (*faultInjector).changeConfiguration},
+	{"target silent", (*faultInjector).targetSilent},
+	{"daemons stopped in series", (*faultInjector).daemonsStoppedInSeries},
 }
 
 // step starts a random fault and returns at once.
 func (f *faultInjector) step() {
-	kind := faultKinds[f.random.IntN(len(faultKinds))]
+	kind := faultKinds[f.random.IntN(f.kinds)]
 	random := rand.New(rand.NewPCG(f.random.Uint64(), 1))
 	duration := time.Duration(200+random.IntN(2500)) * time.Millisecond
 	f.running.Go(func() {
@@ -258,17 +262,49 @@
 	})
 }
 
-// daemonStopped shuts a daemon down gracefully: it must exit within its grace time.
-func (f *faultInjector) daemonStopped(random *rand.Rand, duration time.Duration) string {
-	return f.withDaemon(random, func(d *daemon) {
-		d.terminate(syscall.SIGTERM)
-		if !d.waitExit(stopGrace + time.Second) {
-			f.env.t.Errorf("%s did not exit within %v of SIGTERM", d.name, stopGrace)
-			d.signal(syscall.SIGKILL)
-			d.waitExit(stopGrace)
+func (f *faultInjector) daemonStopped(random *rand.Rand, _ time.Duration) string {
+	return f.withDaemon(random, func(d *daemon) { f.stop(d, random) })
+}
+
+// stop shuts a daemon down gracefully: it must exit within its grace time, whether further signals arrive or not.
+func (f *faultInjector) stop(d *daemon, random *rand.Rand) {
+	d.terminate(syscall.SIGTERM)
+	if random.IntN(2) == 0 {
+		d.waitExit(time.Duration(random.Int64N(int64(stopGrace))))
+		d.signal([]syscall.Signal{syscall.SIGTERM, syscall.SIGHUP}[random.IntN(2)])
+	}
+	d.mu.Lock()
+	end := d.stopTimes[len(d.stopTimes)-1].Add(stopGrace + time.Second)
+	d.mu.Unlock()
+	if !d.waitExit(time.Until(end)) {
+		f.env.t.Errorf("%s did not exit within %v of SIGTERM", d.name, stopGrace)
+		d.terminate(syscall.SIGKILL)
+		d.waitExit(stopGrace)
+	}
+	d.start()
+}
+
+// daemonsStoppedInSeries stops all daemons in random order, the next one before or after the last one has ended. It leaves
+// out those that another fault has reserved.
+func (f *faultInjector) daemonsStoppedInSeries(random *rand.Rand, duration time.Duration) string {
+	interval := duration / 2
+	var stopping sync.WaitGroup
+	var stopped []string
+	for _, i := range random.Perm(len(f.env.daemons)) {
+		d := f.env.daemons[i]
+		r := rand.New(rand.NewPCG(random.Uint64(), 1))
+		if !f.reserve(d) {
+			continue
 		}
-		d.start()
-	})
+		stopped = append(stopped, d.name)
+		stopping.Go(func() {
+			defer f.release(d)
+			f.stop(d, r)
+		})
+		time.Sleep(interval)
+	}
+	stopping.Wait()
+	return fmt.Sprintf("%v, one every %v,", stopped, interval)
 }
 
 func (f *faultInjector) daemonHangup(random *rand.Rand, _ time.Duration) string {
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -26,22 +26,23 @@
 	settleTime = 3 * time.Second
 )
 
-// regressions are seeds that once failed, with the cause of the failure.
+// regressions are seeds that once failed, with the number of faultKinds at that time and the cause of the failure.
 var regressions = []struct {
 	seed  uint64
+	kinds int
 	cause string
 }{
-	{1, "a connection to the store went silent behind a proxy that answered keepalive probes; a revoked key was accepted for minutes"},
-	{4, "three of four connections were silent; the last configuration took more than 2 s to take effect"},
-	{207, "two daemons with silent connections kept each other from accepting the last configuration from the daemons that had it"},
-	{8, "SIGHUP terminated a process that had just started"},
+	{1, 15, "a connection to the store went silent behind a proxy that answered keepalive probes; a revoked key was accepted for minutes"},
+	{4, 15, "three of four connections were silent; the last configuration took more than 2 s to take effect"},
+	{207, 15, "two daemons with silent connections kept each other from accepting the last configuration from the daemons that had it"},
+	{8, 15, "SIGHUP terminated a process that had just started"},
 }
 
 // TestRandomisedSoak guards against violated guarantees to callers and targets while faults overlap, such as postings
 // that run twice, truncated streams that look complete, retries beyond the budget, and outdated keys that are
 // still accepted. HYSSOPHOIST_SEED and HYSSOPHOIST_STEPS repeat the faults of a run.
 func TestRandomisedSoak(t *testing.T) {
-	runSoak(t, testenv.Seed(t, 100), int(testenv.Steps(t, defaultSteps)))
+	runSoak(t, testenv.Seed(t, 100), int(testenv.Steps(t, defaultSteps)), len(faultKinds))
 }
 
 // TestSoakRegressions repeats the faults of seeds that once failed.
@@ -52,14 +53,16 @@
 	for _, r := range regressions {
 		t.Run(fmt.Sprint(r.seed), func(t *testing.T) {
 			t.Log(r.cause)
-			runSoak(t, r.seed, defaultSteps)
+			runSoak(t, r.seed, defaultSteps, r.kinds)
 		})
 	}
 }
 
-func runSoak(t *testing.T, seed uint64, steps int) {
+func runSoak(t *testing.T, seed uint64, steps, kinds int) {
 	env := newEnvironment(t, seed, defaultDaemons, enginesPerZone)
-	f := &faultInjector{env: env, random: rand.New(rand.NewPCG(seed, 0)), reserved: make(map[any]bool)}
+	f := &faultInjector{
+		env: env, random: rand.New(rand.NewPCG(seed, 0)), kinds: kinds, reserved: make(map[any]bool),
+	}
 	t.Cleanup(func() {
 		if t.Failed() {
 			f.mu.Lock()
