Check in the soak that daemons answer what they have read

Cause: the soak only checked requests that had reached a target, and excused each of them that was in progress near the end of a grace time. A request that a stopping daemon read and dropped was not seen.

Change: each request of a connection caller that was sent whole gets a complete response from a daemon that was neither killed nor suspended, unless its last byte was written less than 200 ms before its connection ended and it reached no target, or it is a stream at the end of the grace time. Callers that time out count as not answered.

--- a/test/soak/check_test.go
+++ b/test/soak/check_test.go
@@ -14,8 +14,12 @@
 	"github.com/hyssophoist/hyssophoist/internal/emulator/edgeplatform"
 )
 
-// deadlineSlack is how long after its deadline a request may still end.
-const deadlineSlack = time.Second
+const (
+	// deadlineSlack is how long after its deadline a request may still end.
+	deadlineSlack = time.Second
+	// crossingTime is how long before the end of its connection a request may have been sent that crosses it.
+	crossingTime = 200 * time.Millisecond
+)
 
 // targetRun is a request that a target has run.
 type targetRun struct {
@@ -26,7 +30,11 @@
 // check compares the responses to callers with the requests that targets ran.
 func (c *callers) check() {
 	runs := make(map[string][]targetRun)
+	arrived := make(map[string]bool)
 	for _, t := range c.env.targets {
+		for _, a := range t.Arrivals() {
+			arrived[a.RequestID] = true
+		}
 		for _, r := range t.Runs() {
 			runs[r.RequestID] = append(runs[r.RequestID], targetRun{r, t})
 		}
@@ -36,6 +44,7 @@
 	for _, s := range c.requests {
 		requestsByID[s.id] = s
 		c.checkOutcome(s, runs[s.id])
+		c.checkAnswered(s, arrived[s.id])
 		result := strconv.Itoa(s.status)
 		if s.err != nil {
 			result = "transport error"
@@ -88,6 +97,23 @@
 	}
 }
 
+// checkAnswered checks that a request of a connection caller got a complete response, unless it crossed the end of its
+// connection, was a stream at the end of a grace time, or its daemon was killed or suspended. A stream whose response has
+// begun may be aborted, since its target may have failed.
+func (c *callers) checkAnswered(s *sentRequest, arrived bool) {
+	answered := s.err == nil || s.route == "gen" && s.status != 0
+	if s.writtenAt.IsZero() || answered || s.daemon.wasDisturbed(s.sentAt, s.endedAt) {
+		return
+	}
+	wait := s.endedAt.Sub(s.writtenAt)
+	crossed := !arrived && wait < crossingTime
+	if crossed || s.route == "gen" && s.daemon.endedGrace(s.sentAt, s.endedAt) {
+		return
+	}
+	c.env.t.Errorf("request %s, sent whole to %s at %s, got no answer in %v: %v (status %d, arrived at a target: %t)",
+		s.id, s.daemon.name, s.writtenAt.Format("05.000"), wait, s.err, s.status, arrived)
+}
+
 // timedOut reports whether the caller stopped waiting for the response.
 func (s *sentRequest) timedOut() bool {
 	return errors.Is(s.err, context.DeadlineExceeded) || errors.Is(s.err, os.ErrDeadlineExceeded)
--- a/test/soak/daemon_test.go
+++ b/test/soak/daemon_test.go
@@ -18,9 +18,11 @@
 )
 
 const (
-	stopGrace   = 5 * time.Second
-	drainBound  = 2 * time.Second
-	configBound = 2 * time.Second
+	stopGrace = 5 * time.Second
+	// nearGraceEnd is how long after SIGTERM the grace time is nearly over, so that requests may be cut off.
+	nearGraceEnd = stopGrace * 5 / 6
+	drainBound   = 2 * time.Second
+	configBound  = 2 * time.Second
 	// retrySlack is small, so that the test reaches the limit of the retry budget.
 	retrySlack = 60
 	retryRatio = 0.2
@@ -49,9 +51,14 @@
 	terminating bool
 	// killTimes and stopTimes hold when SIGKILL and SIGTERM were sent.
 	killTimes, stopTimes []time.Time
-	logFile              *os.File
+	// pauses holds the times during which the process was suspended.
+	pauses  []pause
+	logFile *os.File
 }
 
+// pause is a time during which a process was suspended.
+type pause struct{ from, to time.Time }
+
 // lastAddress is the number of the last loopback address that was given to a daemon of this test process.
 var lastAddress atomic.Int32
 
@@ -166,11 +173,41 @@
 func (d *daemon) mayInterrupt(from, to time.Time) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	within := func(at time.Time) bool { return !at.Before(from) && !at.After(to.Add(killSlack)) }
-	if slices.ContainsFunc(d.killTimes, within) {
-		return true
-	}
-	return slices.ContainsFunc(d.stopTimes, func(at time.Time) bool { return within(at.Add(stopGrace * 5 / 6)) })
+	return anyWithin(d.killTimes, 0, from, to) || anyWithin(d.stopTimes, nearGraceEnd, from, to)
+}
+
+// wasDisturbed reports whether the process was killed or suspended between from and to.
+func (d *daemon) wasDisturbed(from, to time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	suspended := func(p pause) bool { return p.from.Before(to) && p.to.After(from) }
+	return anyWithin(d.killTimes, 0, from, to) || slices.ContainsFunc(d.pauses, suspended)
+}
+
+// endedGrace reports whether the grace time of a graceful shutdown was nearly over between from and to.
+func (d *daemon) endedGrace(from, to time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return anyWithin(d.stopTimes, nearGraceEnd, from, to)
+}
+
+// anyWithin reports whether any of the given times, each with delay added, is between from and to.
+func anyWithin(times []time.Time, delay time.Duration, from, to time.Time) bool {
+	return slices.ContainsFunc(times, func(at time.Time) bool {
+		at = at.Add(delay)
+		return !at.Before(from) && !at.After(to.Add(killSlack))
+	})
+}
+
+// suspend suspends the process for the given duration.
+func (d *daemon) suspend(duration time.Duration) {
+	from := time.Now()
+	d.signal(syscall.SIGSTOP)
+	time.Sleep(duration)
+	d.signal(syscall.SIGCONT)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.pauses = append(d.pauses, pause{from, time.Now()})
 }
 
 func (d *daemon) signal(s syscall.Signal) {
--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -246,11 +246,7 @@
 }
 
 func (f *faultInjector) daemonPaused(random *rand.Rand, duration time.Duration) string {
-	return f.withDaemon(random, func(d *daemon) {
-		d.signal(syscall.SIGSTOP)
-		time.Sleep(duration)
-		d.signal(syscall.SIGCONT)
-	})
+	return f.withDaemon(random, func(d *daemon) { d.suspend(duration) })
 }
 
 func (f *faultInjector) daemonKilled(random *rand.Rand, duration time.Duration) string {
