Check in the soak that no refused request has run

Cause: only postings were checked against their refusals.

Change: a status 503 or 429 means for each route that no target ran the request.

--- a/test/soak/check_test.go
+++ b/test/soak/check_test.go
@@ -60,16 +60,16 @@
 	c.env.t.Logf("%d requests: %v", len(c.requests), counts)
 }
 
-// checkOutcome checks one request: a posting runs at most once, and not at all if it was refused; a response is complete
-// and belongs to its request.
+// checkOutcome checks one request: a posting runs at most once, and no request runs if it was refused; a response is
+// complete and belongs to its request.
 func (c *callers) checkOutcome(s *sentRequest, runs []targetRun) {
 	t := c.env.t
 	if s.route == "post" && len(runs) > 1 {
 		t.Errorf("posting %s ran %d times", s.id, len(runs))
 	}
 	refused := s.status == http.StatusServiceUnavailable || s.status == http.StatusTooManyRequests
-	if refused && s.route == "post" && len(runs) > 0 {
-		t.Errorf("posting %s was refused with status %d but ran", s.id, s.status)
+	if refused && len(runs) > 0 {
+		t.Errorf("request %s was refused with status %d but ran", s.id, s.status)
 	}
 	if refused && s.retryAfter == "" {
 		t.Errorf("request %s was refused without Retry-After", s.id)
