Check in the soak that stops and changes cut no streams

Cause: a stream whose response had begun was never checked against the stop of its daemon, since its target may have failed.

Change: the soak records when each target or its connections had a fault. A stream that is cut although no engine on its path had one, its daemon was neither killed nor suspended and no grace time ended is a failure. A silence that no request has begun ends with its fault, so that none is left over.

--- a/test/soak/check_test.go
+++ b/test/soak/check_test.go
@@ -45,6 +45,7 @@
 		requestsByID[s.id] = s
 		c.checkOutcome(s, runs[s.id])
 		c.checkAnswered(s, arrived[s.id])
+		c.checkNotCut(s, runs[s.id])
 		result := strconv.Itoa(s.status)
 		if s.err != nil {
 			result = "transport error"
@@ -98,8 +99,8 @@
 }
 
 // checkAnswered checks that a request of a connection caller got a complete response, unless it crossed the end of its
-// connection, was a stream at the end of a grace time, or its daemon was killed or suspended. A stream whose response has
-// begun may be aborted, since its target may have failed.
+// connection, was a stream at the end of a grace time, or its daemon was killed or suspended. For streams whose response
+// has begun see checkNotCut.
 func (c *callers) checkAnswered(s *sentRequest, arrived bool) {
 	answered := s.err == nil || s.route == "gen" && s.status != 0
 	if s.writtenAt.IsZero() || answered || s.daemon.wasDisturbed(s.sentAt, s.endedAt) {
@@ -114,6 +115,24 @@
 		s.id, s.daemon.name, s.writtenAt.Format("05.000"), wait, s.err, s.status, arrived)
 }
 
+// checkNotCut checks that a stream whose response has begun is complete, unless an engine on its path had a fault, its
+// daemon was killed or suspended, or the grace time of the daemon ended.
+func (c *callers) checkNotCut(s *sentRequest, runs []targetRun) {
+	cut := s.route == "gen" && s.status == http.StatusOK && s.err != nil
+	if !cut || s.daemon.wasDisturbed(s.sentAt, s.endedAt) || s.daemon.endedGrace(s.sentAt, s.endedAt) {
+		return
+	}
+	for _, r := range runs {
+		for _, t := range c.env.targets {
+			if strings.Contains(r.Hops, t.Address()+"=") && t.wasFaulty(s.sentAt, s.endedAt) {
+				return
+			}
+		}
+	}
+	c.env.t.Errorf("stream %s, sent to %s at %s, was cut after %v without a fault of its engines: %v",
+		s.id, s.daemon.name, s.sentAt.Format("05.000"), s.endedAt.Sub(s.sentAt), s.err)
+}
+
 // timedOut reports whether the caller stopped waiting for the response.
 func (s *sentRequest) timedOut() bool {
 	return errors.Is(s.err, context.DeadlineExceeded) || errors.Is(s.err, os.ErrDeadlineExceeded)
--- a/test/soak/daemon_test.go
+++ b/test/soak/daemon_test.go
@@ -52,12 +52,17 @@
 	// killTimes and stopTimes hold when SIGKILL and SIGTERM were sent.
 	killTimes, stopTimes []time.Time
 	// pauses holds the times during which the process was suspended.
-	pauses  []pause
+	pauses  []period
 	logFile *os.File
 }
 
-// pause is a time during which a process was suspended.
-type pause struct{ from, to time.Time }
+// period is a time during which a fault was present.
+type period struct{ from, to time.Time }
+
+// overlapsAny reports whether any of the given periods overlaps the time between from and to.
+func overlapsAny(periods []period, from, to time.Time) bool {
+	return slices.ContainsFunc(periods, func(p period) bool { return p.from.Before(to) && p.to.After(from) })
+}
 
 // lastAddress is the number of the last loopback address that was given to a daemon of this test process.
 var lastAddress atomic.Int32
@@ -180,8 +185,7 @@
 func (d *daemon) wasDisturbed(from, to time.Time) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	suspended := func(p pause) bool { return p.from.Before(to) && p.to.After(from) }
-	return anyWithin(d.killTimes, 0, from, to) || slices.ContainsFunc(d.pauses, suspended)
+	return anyWithin(d.killTimes, 0, from, to) || overlapsAny(d.pauses, from, to)
 }
 
 // endedGrace reports whether the grace time of a graceful shutdown was nearly over between from and to.
@@ -207,7 +211,7 @@
 	d.signal(syscall.SIGCONT)
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.pauses = append(d.pauses, pause{from, time.Now()})
+	d.pauses = append(d.pauses, period{from, time.Now()})
 }
 
 func (d *daemon) signal(s syscall.Signal) {
--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -135,6 +135,7 @@
 
 func (f *faultInjector) targetBlockedOrSlow(random *rand.Rand, duration time.Duration) string {
 	t := f.randomTarget(random)
+	defer t.recordFault(time.Now())
 	rules := faultproxy.Rules{Blocked: true}
 	if random.IntN(3) == 0 {
 		rules = faultproxy.Rules{Delay: 100 * time.Millisecond, Jitter: 200 * time.Millisecond}
@@ -148,6 +149,7 @@
 
 func (f *faultInjector) targetResetOrSilent(random *rand.Rand, _ time.Duration) string {
 	t := f.randomTarget(random)
+	defer t.recordFault(time.Now())
 	if random.IntN(2) == 0 {
 		t.proxy.Blackhole()
 		return t.ID + " silenced"
@@ -167,6 +169,7 @@
 		return skipped
 	}
 	defer f.release(t.Target)
+	defer t.recordFault(time.Now())
 	t.setMisbehaviour(variant)
 	time.Sleep(duration)
 	t.setMisbehaviour(edgeplatform.TargetFaults{})
@@ -181,18 +184,37 @@
 	})
 }
 
-// targetSilent makes a target fall silent once, at its next request or after some events of a stream.
-func (f *faultInjector) targetSilent(random *rand.Rand, _ time.Duration) string {
+// targetSilent makes a target fall silent once, at its next request or after some events of a stream, if one comes in the
+// given duration.
+func (f *faultInjector) targetSilent(random *rand.Rand, duration time.Duration) string {
 	t := f.randomTarget(random)
 	silence := minSilence + time.Duration(random.Int64N(int64(maxSilence-minSilence)))
 	after := 0
 	if t.Card != "" {
 		after = random.IntN(streamEvents)
 	}
+	defer t.recordFault(time.Now())
 	t.UpdateFaults(func(faults *edgeplatform.TargetFaults) { faults.SilentFor, faults.SilentAfter = silence, after })
+	time.Sleep(duration)
+	t.UpdateFaults(func(faults *edgeplatform.TargetFaults) { faults.SilentFor = 0 })
+	time.Sleep(silence)
 	return fmt.Sprintf("%s, silent for %v after %d events", t.ID, silence, after)
 }
 
+// recordFault records that the target had a fault since from.
+func (t *target) recordFault(from time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.faults = append(t.faults, period{from, time.Now()})
+}
+
+// wasFaulty reports whether the target had a fault between from and to, or less than deadlineSlack before.
+func (t *target) wasFaulty(from, to time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return overlapsAny(t.faults, from.Add(-deadlineSlack), to)
+}
+
 // targetCrashes restarts a target without its state. Its entry expires if the target is unreachable for more than
 // entryTTL.
 func (f *faultInjector) targetCrashes(random *rand.Rand, duration time.Duration) string {
@@ -201,6 +223,7 @@
 		return skipped
 	}
 	defer f.release(t)
+	defer t.recordFault(time.Now())
 	t.proxy.RefuseNew(true)
 	t.Restart()
 	time.Sleep(min(duration, entryTTL))
@@ -220,6 +243,7 @@
 		return skipped
 	}
 	defer f.release(t)
+	defer t.recordFault(time.Now())
 	t.setState("draining")
 	time.Sleep(drainBound + duration)
 	t.setState("")
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -31,6 +31,8 @@
 
 	mu    sync.Mutex
 	state string // in the list of targets: "ready", "draining" or "" for none
+	// faults holds the times during which the target or its connections had a fault.
+	faults []period
 }
 
 // environment is a deployment under test: the store, targets in two zones, and daemons.
