Use each kind of connection caller by name

Cause: staticcheck reports the constant keepsConnection as unused.

Change: the pause before a request names the kinds that it is for. The pauses are the same as before.

--- a/test/soak/connections_test.go
+++ b/test/soak/connections_test.go
@@ -98,10 +98,13 @@
 // pause waits before the next request. It reports false if the daemon closes the connection meanwhile.
 func (c *connectionCaller) pause() bool {
 	limit := shortPause
-	if c.use == sendsLate {
+	switch c.use {
+	case sendsLate:
 		limit = maxSendDelay
-	} else if c.random.IntN(2) == 0 {
-		limit = longPause
+	case keepsConnection, splitsHead:
+		if c.random.IntN(2) == 0 {
+			limit = longPause
+		}
 	}
 	if err := c.conn.SetReadDeadline(time.Now().Add(c.randomTime(limit))); err != nil {
 		return false
