Tell requests that were read from ones that crossed in the soak

Change: a request has not crossed if its daemon logged that it closed the connection after it had read the whole request.

--- a/test/soak/callers_test.go
+++ b/test/soak/callers_test.go
@@ -24,7 +24,10 @@
 	daemon                *daemon
 	sentAt, endedAt       time.Time
 	// writtenAt is when the last byte was written; zero if it was not, or by a caller that uses http.Transport.
-	writtenAt         time.Time
+	writtenAt time.Time
+	// localAddress and size are the address of the caller and the number of bytes sent; set by connection callers.
+	localAddress      string
+	size              int
 	status            int
 	stamp, retryAfter string
 	responseBody      string
--- a/test/soak/check_test.go
+++ b/test/soak/check_test.go
@@ -99,15 +99,15 @@
 }
 
 // checkAnswered checks that a request of a connection caller got a complete response, unless it crossed the end of its
-// connection, was a stream at the end of a grace time, or its daemon was killed or suspended. For streams whose response
-// has begun see checkNotCut.
+// connection, was a stream at the end of a grace time, or its daemon was killed or suspended. A request that the daemon
+// has read in whole has not crossed. For streams whose response has begun see checkNotCut.
 func (c *callers) checkAnswered(s *sentRequest, arrived bool) {
 	answered := s.err == nil || s.route == "gen" && s.status != 0
 	if s.writtenAt.IsZero() || answered || s.daemon.wasDisturbed(s.sentAt, s.endedAt) {
 		return
 	}
 	wait := s.endedAt.Sub(s.writtenAt)
-	if !arrived && wait < crossingTime {
+	if !arrived && wait < crossingTime && !s.daemon.loggedUnanswered(s.localAddress, s.size) {
 		c.crossed++
 		return
 	}
--- a/test/soak/connections_test.go
+++ b/test/soak/connections_test.go
@@ -149,6 +149,7 @@
 	if err := request.Write(&encoded); err != nil {
 		return err
 	}
+	s.localAddress, s.size = c.conn.LocalAddr().String(), encoded.Len()
 	if c.use == splitsHead {
 		headLength := bytes.Index(encoded.Bytes(), []byte("\r\n\r\n"))
 		if _, err := io.CopyN(c.conn, &encoded, 1+c.random.Int64N(int64(headLength))); err != nil {
--- a/test/soak/daemon_test.go
+++ b/test/soak/daemon_test.go
@@ -1,12 +1,15 @@
 package soak
 
 import (
+	"bufio"
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -203,6 +206,24 @@
 	})
 }
 
+// loggedUnanswered reports whether the daemon has logged that it closed the connection of a caller without an answer after
+// it had read size bytes or more.
+func (d *daemon) loggedUnanswered(caller string, size int) bool {
+	content, err := os.ReadFile(d.logFile.Name())
+	if err != nil {
+		d.t.Error(err)
+	}
+	for scanner := bufio.NewScanner(bytes.NewReader(content)); scanner.Scan(); {
+		_, fields, _ := strings.Cut(scanner.Text(), "connection closed without an answer\" ")
+		received := 0
+		_, err := fmt.Sscanf(fields, fmt.Sprintf("remote=%q received=%%d", caller), &received)
+		if err == nil && received >= size {
+			return true
+		}
+	}
+	return false
+}
+
 // suspend suspends the process for the given duration.
 func (d *daemon) suspend(duration time.Duration) {
 	from := time.Now()
