--- a/test/soak/check_test.go
+++ b/test/soak/check_test.go
@@ -109,6 +109,8 @@
 	wait := s.endedAt.Sub(s.writtenAt)
 	if !arrived && wait < crossingTime && !s.daemon.loggedUnanswered(s.localAddress, s.size) {
 		c.crossed++
+		c.env.t.Logf("request %s, sent to %s at %s, crossed the end of its connection %v later: %v",
+			s.id, s.daemon.name, s.writtenAt.Format("05.000"), wait, s.err)
 		return
 	}
 	if s.route == "gen" && s.daemon.endedGrace(s.sentAt, s.endedAt) {
