--- a/test/soak/check_test.go
+++ b/test/soak/check_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"os"
 	"slices"
 	"sort"
 	"strconv"
@@ -13,8 +14,12 @@
 	"github.com/hyssophoist/hyssophoist/internal/emulator/edgeplatform"
 )
 
-// deadlineSlack is how long after its deadline a request may still end.
-const deadlineSlack = time.Second
+const (
+	// deadlineSlack is how long after its deadline a request may still end.
+	deadlineSlack = time.Second
+	// crossingTime is how long before the end of its connection a request may have been sent that crosses it.
+	crossingTime = 200 * time.Millisecond
+)
 
 // targetRun is a request that a target has run.
 type targetRun struct {
@@ -25,7 +30,11 @@
 // check compares the responses to callers with the requests that targets ran.
 func (c *callers) check() {
 	runs := make(map[string][]targetRun)
+	arrived := make(map[string]bool)
 	for _, t := range c.env.targets {
+		for _, a := range t.Arrivals() {
+			arrived[a.RequestID] = true
+		}
 		for _, r := range t.Runs() {
 			runs[r.RequestID] = append(runs[r.RequestID], targetRun{r, t})
 		}
@@ -35,6 +44,8 @@
 	for _, s := range c.requests {
 		requestsByID[s.id] = s
 		c.checkOutcome(s, runs[s.id])
+		c.checkAnswered(s, arrived[s.id])
+		c.checkNotCut(s, runs[s.id])
 		result := strconv.Itoa(s.status)
 		if s.err != nil {
 			result = "transport error"
@@ -47,19 +58,19 @@
 		}
 	}
 	c.checkRetryBudget()
-	c.env.t.Logf("%d requests: %v", len(c.requests), counts)
+	c.env.t.Logf("%d requests, %d of them crossed the end of their connection: %v", len(c.requests), c.crossed, counts)
 }
 
-// checkOutcome checks one request: a posting runs at most once, and not at all if it was refused; a response is complete
-// and belongs to its request.
+// checkOutcome checks one request: a posting runs at most once, and no request runs if it was refused; a response is
+// complete and belongs to its request.
 func (c *callers) checkOutcome(s *sentRequest, runs []targetRun) {
 	t := c.env.t
 	if s.route == "post" && len(runs) > 1 {
 		t.Errorf("posting %s ran %d times", s.id, len(runs))
 	}
 	refused := s.status == http.StatusServiceUnavailable || s.status == http.StatusTooManyRequests
-	if refused && s.route == "post" && len(runs) > 0 {
-		t.Errorf("posting %s was refused with status %d but ran", s.id, s.status)
+	if refused && len(runs) > 0 {
+		t.Errorf("request %s was refused with status %d but ran", s.id, s.status)
 	}
 	if refused && s.retryAfter == "" {
 		t.Errorf("request %s was refused without Retry-After", s.id)
@@ -79,14 +90,59 @@
 	// A daemon responds to each request that it has forwarded, even during a graceful shutdown and if the target does
 	// not respond. It aborts failed streams instead, so that they do not look complete.
 	forwarded := len(runs) > 0 && s.route != "gen"
-	if forwarded && s.err != nil && !errors.Is(s.err, context.DeadlineExceeded) && !s.daemon.mayInterrupt(s.sentAt, s.endedAt) {
+	if forwarded && s.err != nil && !s.timedOut() && !s.daemon.mayInterrupt(s.sentAt, s.endedAt) {
 		t.Errorf("request %s was forwarded, but its connection ended without a response: %v", s.id, s.err)
 	}
-	if took := s.endedAt.Sub(s.sentAt); took > callerTimeout+deadlineSlack {
+	if took := s.endedAt.Sub(s.sentAt); took > callerTimeout+deadlineSlack && !errors.Is(s.err, os.ErrDeadlineExceeded) {
 		t.Errorf("request %s took %v", s.id, took)
 	}
 }
 
+// checkAnswered checks that a request of a connection caller got a complete response, unless it crossed the end of its
+// connection, was a stream at the end of a grace time, or its daemon was killed or suspended. A request that the daemon
+// has read in whole has not crossed. For streams whose response has begun see checkNotCut.
+func (c *callers) checkAnswered(s *sentRequest, arrived bool) {
+	answered := s.err == nil || s.route == "gen" && s.status != 0
+	if s.writtenAt.IsZero() || answered || s.daemon.wasDisturbed(s.sentAt, s.endedAt) {
+		return
+	}
+	wait := s.endedAt.Sub(s.writtenAt)
+	if !arrived && wait < crossingTime && !s.daemon.loggedUnanswered(s.localAddress, s.size) {
+		c.crossed++
+		c.env.t.Logf("request %s, sent to %s at %s, crossed the end of its connection %v later: %v",
+			s.id, s.daemon.name, s.writtenAt.Format("05.000"), wait, s.err)
+		return
+	}
+	if s.route == "gen" && s.daemon.endedGrace(s.sentAt, s.endedAt) {
+		return
+	}
+	c.env.t.Errorf("request %s, sent whole to %s at %s, got no answer in %v: %v (status %d, arrived at a target: %t)",
+		s.id, s.daemon.name, s.writtenAt.Format("05.000"), wait, s.err, s.status, arrived)
+}
+
+// checkNotCut checks that a stream whose response has begun is complete, unless an engine on its path had a fault, its
+// daemon was killed or suspended, or the grace time of the daemon ended.
+func (c *callers) checkNotCut(s *sentRequest, runs []targetRun) {
+	cut := s.route == "gen" && s.status == http.StatusOK && s.err != nil
+	if !cut || s.daemon.wasDisturbed(s.sentAt, s.endedAt) || s.daemon.endedGrace(s.sentAt, s.endedAt) {
+		return
+	}
+	for _, r := range runs {
+		for _, t := range c.env.targets {
+			if strings.Contains(r.Hops, t.Address()+"=") && t.wasFaulty(s.sentAt, s.endedAt) {
+				return
+			}
+		}
+	}
+	c.env.t.Errorf("stream %s, sent to %s at %s, was cut after %v without a fault of its engines: %v",
+		s.id, s.daemon.name, s.sentAt.Format("05.000"), s.endedAt.Sub(s.sentAt), s.err)
+}
+
+// timedOut reports whether the caller stopped waiting for the response.
+func (s *sentRequest) timedOut() bool {
+	return errors.Is(s.err, context.DeadlineExceeded) || errors.Is(s.err, os.ErrDeadlineExceeded)
+}
+
 // checkStream checks that a stream has each event once and in order, and has all events if it ended without an error.
 func (c *callers) checkStream(s *sentRequest) {
 	ids := eventIDs(s.responseBody)
--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -11,20 +11,30 @@
 	"github.com/hyssophoist/hyssophoist/internal/faultproxy"
 )
 
+const (
+	// minSilence and maxSilence bound how long a target is silent.
+	minSilence = 500 * time.Millisecond
+	maxSilence = 1500 * time.Millisecond
+)
+
 // faultInjector injects faults that overlap.
 type faultInjector struct {
-	env     *environment
-	random  *rand.Rand
+	env    *environment
+	random *rand.Rand
+	// kinds is the number of faultKinds that step chooses from.
+	kinds   int
 	running sync.WaitGroup
 
 	mu        sync.Mutex
 	completed []string
 	// reserved holds the daemons, targets, emulated servers of targets and the store that a fault has reserved. A second
-	// fault that needs the same one is skipped. Faults of connections and changes of the configuration reserve nothing.
+	// fault that needs the same one is skipped. Faults of connections, silences of targets and changes of the configuration
+	// reserve nothing.
 	reserved map[any]bool
 }
 
-// faultKinds are the faults that step chooses from. The duration of each fault is random.
+// faultKinds are the faults that step chooses from. The duration of each fault is random. New ones are appended, so that
+// the seeds of regressions keep their faults.
 var faultKinds = []struct {
 	name   string
 	inject func(f *faultInjector, random *rand.Rand, duration time.Duration) string
@@ -44,11 +54,13 @@
 	{"daemon stopped", (*faultInjector).daemonStopped},
 	{"daemon hangup", (*faultInjector).daemonHangup},
 	{"configuration", (*faultInjector).changeConfiguration},
+	{"target silent", (*faultInjector).targetSilent},
+	{"daemons stopped in series", (*faultInjector).daemonsStoppedInSeries},
 }
 
 // step starts a random fault and returns at once.
 func (f *faultInjector) step() {
-	kind := faultKinds[f.random.IntN(len(faultKinds))]
+	kind := faultKinds[f.random.IntN(f.kinds)]
 	random := rand.New(rand.NewPCG(f.random.Uint64(), 1))
 	duration := time.Duration(200+random.IntN(2500)) * time.Millisecond
 	f.running.Go(func() {
@@ -123,6 +135,7 @@
 
 func (f *faultInjector) targetBlockedOrSlow(random *rand.Rand, duration time.Duration) string {
 	t := f.randomTarget(random)
+	defer t.recordFault(time.Now())
 	rules := faultproxy.Rules{Blocked: true}
 	if random.IntN(3) == 0 {
 		rules = faultproxy.Rules{Delay: 100 * time.Millisecond, Jitter: 200 * time.Millisecond}
@@ -136,6 +149,7 @@
 
 func (f *faultInjector) targetResetOrSilent(random *rand.Rand, _ time.Duration) string {
 	t := f.randomTarget(random)
+	defer t.recordFault(time.Now())
 	if random.IntN(2) == 0 {
 		t.proxy.Blackhole()
 		return t.ID + " silenced"
@@ -155,12 +169,52 @@
 		return skipped
 	}
 	defer f.release(t.Target)
-	t.SetFaults(variant)
+	defer t.recordFault(time.Now())
+	t.setMisbehaviour(variant)
 	time.Sleep(duration)
-	t.SetFaults(edgeplatform.TargetFaults{})
+	t.setMisbehaviour(edgeplatform.TargetFaults{})
 	return fmt.Sprintf("%s, %+v", t.ID, variant)
 }
 
+// setMisbehaviour replaces the faults of a target except for its silence.
+func (t *target) setMisbehaviour(faults edgeplatform.TargetFaults) {
+	t.UpdateFaults(func(current *edgeplatform.TargetFaults) {
+		faults.SilentFor, faults.SilentAfter = current.SilentFor, current.SilentAfter
+		*current = faults
+	})
+}
+
+// targetSilent makes a target fall silent once, at its next request or after some events of a stream, if one comes in the
+// given duration.
+func (f *faultInjector) targetSilent(random *rand.Rand, duration time.Duration) string {
+	t := f.randomTarget(random)
+	silence := minSilence + time.Duration(random.Int64N(int64(maxSilence-minSilence)))
+	after := 0
+	if t.Card != "" {
+		after = random.IntN(streamEvents)
+	}
+	defer t.recordFault(time.Now())
+	t.UpdateFaults(func(faults *edgeplatform.TargetFaults) { faults.SilentFor, faults.SilentAfter = silence, after })
+	time.Sleep(duration)
+	t.UpdateFaults(func(faults *edgeplatform.TargetFaults) { faults.SilentFor = 0 })
+	time.Sleep(silence)
+	return fmt.Sprintf("%s, silent for %v after %d events", t.ID, silence, after)
+}
+
+// recordFault records that the target had a fault since from.
+func (t *target) recordFault(from time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.faults = append(t.faults, period{from, time.Now()})
+}
+
+// wasFaulty reports whether the target had a fault between from and to, or less than deadlineSlack before.
+func (t *target) wasFaulty(from, to time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return overlapsAny(t.faults, from.Add(-deadlineSlack), to)
+}
+
 // targetCrashes restarts a target without its state. Its entry expires if the target is unreachable for more than
 // entryTTL.
 func (f *faultInjector) targetCrashes(random *rand.Rand, duration time.Duration) string {
@@ -169,6 +223,7 @@
 		return skipped
 	}
 	defer f.release(t)
+	defer t.recordFault(time.Now())
 	t.proxy.RefuseNew(true)
 	t.Restart()
 	time.Sleep(min(duration, entryTTL))
@@ -188,6 +243,7 @@
 		return skipped
 	}
 	defer f.release(t)
+	defer t.recordFault(time.Now())
 	t.setState("draining")
 	time.Sleep(drainBound + duration)
 	t.setState("")
@@ -214,11 +270,7 @@
 }
 
 func (f *faultInjector) daemonPaused(random *rand.Rand, duration time.Duration) string {
-	return f.withDaemon(random, func(d *daemon) {
-		d.signal(syscall.SIGSTOP)
-		time.Sleep(duration)
-		d.signal(syscall.SIGCONT)
-	})
+	return f.withDaemon(random, func(d *daemon) { d.suspend(duration) })
 }
 
 func (f *faultInjector) daemonKilled(random *rand.Rand, duration time.Duration) string {
@@ -230,17 +282,49 @@
 	})
 }
 
-// daemonStopped shuts a daemon down gracefully: it must exit within its grace time.
-func (f *faultInjector) daemonStopped(random *rand.Rand, duration time.Duration) string {
-	return f.withDaemon(random, func(d *daemon) {
-		d.terminate(syscall.SIGTERM)
-		if !d.waitExit(stopGrace + time.Second) {
-			f.env.t.Errorf("%s did not exit within %v of SIGTERM", d.name, stopGrace)
-			d.signal(syscall.SIGKILL)
-			d.waitExit(stopGrace)
+func (f *faultInjector) daemonStopped(random *rand.Rand, _ time.Duration) string {
+	return f.withDaemon(random, func(d *daemon) { f.stop(d, random) })
+}
+
+// stop shuts a daemon down gracefully: it must exit within its grace time, whether further signals arrive or not.
+func (f *faultInjector) stop(d *daemon, random *rand.Rand) {
+	d.terminate(syscall.SIGTERM)
+	if random.IntN(2) == 0 {
+		d.waitExit(time.Duration(random.Int64N(int64(stopGrace))))
+		d.signal([]syscall.Signal{syscall.SIGTERM, syscall.SIGHUP}[random.IntN(2)])
+	}
+	d.mu.Lock()
+	end := d.stopTimes[len(d.stopTimes)-1].Add(stopGrace + time.Second)
+	d.mu.Unlock()
+	if !d.waitExit(time.Until(end)) {
+		f.env.t.Errorf("%s did not exit within %v of SIGTERM", d.name, stopGrace)
+		d.terminate(syscall.SIGKILL)
+		d.waitExit(stopGrace)
+	}
+	d.start()
+}
+
+// daemonsStoppedInSeries stops all daemons in random order, the next one before or after the last one has ended. It leaves
+// out those that another fault has reserved.
+func (f *faultInjector) daemonsStoppedInSeries(random *rand.Rand, duration time.Duration) string {
+	interval := duration / 2
+	var stopping sync.WaitGroup
+	var stopped []string
+	for _, i := range random.Perm(len(f.env.daemons)) {
+		d := f.env.daemons[i]
+		r := rand.New(rand.NewPCG(random.Uint64(), 1))
+		if !f.reserve(d) {
+			continue
 		}
-		d.start()
-	})
+		stopped = append(stopped, d.name)
+		stopping.Go(func() {
+			defer f.release(d)
+			f.stop(d, r)
+		})
+		time.Sleep(interval)
+	}
+	stopping.Wait()
+	return fmt.Sprintf("%v, one every %v,", stopped, interval)
 }
 
 func (f *faultInjector) daemonHangup(random *rand.Rand, _ time.Duration) string {
