Decide by one rule when a silent engine counts as lost

Callers would see: streams moved, and engines out of service for orders, because a sound engine sent nothing for 1.2 to 1.5 s.

Cause: two limits for the same question: layers were placed elsewhere after 1.2 s, streams given up after 1.8 s.

--- a/core/dispatch/stall.go
+++ b/core/dispatch/stall.go
@@ -1,10 +1,10 @@
 package dispatch
 
-import "time"
+import (
+	"time"
 
-// SilenceLimit is how long an engine that sends nothing may be sound. Sound engines fall silent for a second or so, and
-// callers disconnect after two seconds without an event; an attempt that ends before that lets its caller retry.
-const SilenceLimit = 1800 * time.Millisecond
+	"github.com/hyssophoist/hyssophoist/core/fleet"
+)
 
 // Stall is an attempt of a stream for which no event arrives.
 type Stall struct {
@@ -25,7 +25,7 @@
 	case s.Replaceable:
 		return s.Silent || s.Idle >= s.Limit
 	default:
-		return s.Silent && s.Idle >= SilenceLimit
+		return s.Silent && s.Idle >= fleet.SilenceLimit
 	}
 }
 
@@ -34,5 +34,5 @@
 	if s.Replaceable {
 		return s.Limit - s.Idle
 	}
-	return SilenceLimit - s.Idle
+	return fleet.SilenceLimit - s.Idle
 }
--- a/core/fleet/reach.go
+++ b/core/fleet/reach.go
@@ -7,9 +7,11 @@
 )
 
 const (
-	// lostAfter is how long an engine must have been unresponsive before its layers are placed elsewhere. The list of
-	// targets drops it only after three missed heartbeats, and a crashed engine holds no layers when it restarts.
-	lostAfter = 1200 * time.Millisecond
+	// SilenceLimit is how long a target that sends nothing may be sound: sound ones fall silent for a second or so. After
+	// it an engine counts as lost, so that its layers are placed elsewhere, and a stream that waits for it is given up,
+	// so that its caller, who disconnects after two seconds without an event, can retry. The list of targets drops an
+	// engine only after three missed heartbeats.
+	SilenceLimit = 1800 * time.Millisecond
 	// maxLostShare is the largest share of a zone's engines that can count as lost. If more are unresponsive, the zone
 	// is assumed to be partitioned from this instance, and its engines still hold their layers.
 	maxLostShare = 0.5
@@ -73,7 +75,7 @@
 }
 
 // LostTargets returns the engines whose layers must be placed elsewhere: those that are not in service, and those that
-// have been down for lostAfter while at least half of the engines of their zone are not.
+// have been down for SilenceLimit while at least half of the engines of their zone are not.
 func (f *Fleet) LostTargets(now time.Time) map[entity.TargetID]bool {
 	type count struct{ engines, down int }
 	zones := make(map[entity.ZoneID]*count)
@@ -94,7 +96,7 @@
 	lost := make(map[entity.TargetID]bool)
 	for id, state := range f.targets.All {
 		zone := zones[state.Zone]
-		unresponsive := state.Card != "" && state.Down(now) && now.Sub(state.reachability.unansweredSince) >= lostAfter &&
+		unresponsive := state.Card != "" && state.Down(now) && now.Sub(state.reachability.unansweredSince) >= SilenceLimit &&
 			float64(zone.down) <= maxLostShare*float64(zone.engines)
 		if unresponsive || !state.InService(now) {
 			lost[id] = true
