Do not take a caller that reads slowly for a stalled engine

Callers would see: a sound stream cut, or retried at another engine, because they read it slowly.

Cause: events are read and written by one goroutine; while a write blocks, none arrives. The watchdog counted that time.

Change: the time of a write does not count as one without an event; writes to a caller end with the deadline of its request.

--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -86,6 +86,9 @@
 		q.endWithError(errkind.NoCapacity)
 		return
 	}
+	if err := s.controller.SetWriteDeadline(time.Now().Add(q.timeLeft())); err != nil {
+		log.Debugf("no write deadline for request %s: %v", q.ID, err)
+	}
 	s.size = dispatch.EstimateGeneration(q.service.Engine, q.PromptTokens, q.ExpectedTokens, q.MaxTokens)
 	for {
 		done, retry := s.runAttempt(ctx)
@@ -323,10 +326,7 @@
 		s.recordArrival()
 	}
 	s.writeHead(x)
-	if _, err := s.writer.Write(e.raw); err != nil {
-		return err
-	}
-	if err := s.controller.Flush(); err != nil {
+	if err := s.writeEvent(e); err != nil {
 		return err
 	}
 	if !e.comment {
@@ -338,6 +338,16 @@
 	return nil
 }
 
+// writeEvent writes one event to the caller.
+func (s *stream) writeEvent(e event) error {
+	s.watchdog.beginWrite()
+	defer s.watchdog.endWrite()
+	if _, err := s.writer.Write(e.raw); err != nil {
+		return err
+	}
+	return s.controller.Flush()
+}
+
 // recordArrival records the arrival of an event, which shows that the engines of the path make progress.
 func (s *stream) recordArrival() {
 	now := time.Now()
--- a/internal/gateway/watchdog.go
+++ b/internal/gateway/watchdog.go
@@ -65,6 +65,8 @@
 	stopped bool
 	// waiting reports whether the attempt is kept although engines of its path are faulty.
 	waiting bool
+	// writingSince is when the writing of an event to the caller began; zero if none is being written.
+	writingSince time.Time
 }
 
 // watch starts a watchdog that reroutes the attempt if engines of its path are found to be faulty. If the attempt cannot
@@ -84,6 +86,9 @@
 	if w.meanGap > 0 {
 		checkDelay = min(stallCheckDelay, max(minEarlyCheckDelay, time.Duration(earlyCheckGaps*float64(w.meanGap))))
 	}
+	if !w.writingSince.IsZero() {
+		return 0, checkDelay, w.stopped
+	}
 	return time.Since(w.lastArrival), checkDelay, w.stopped
 }
 
@@ -175,6 +180,21 @@
 	w.lastArrival, w.hasArrival = now, true
 }
 
+// beginWrite and endWrite enclose the writing of an event. No event is read meanwhile, so this time does not count as one
+// without an event: a caller that reads slowly is not taken for an engine that has stalled.
+func (w *watchdog) beginWrite() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.writingSince = time.Now()
+}
+
+func (w *watchdog) endWrite() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.lastArrival = w.lastArrival.Add(time.Since(w.writingSince))
+	w.writingSince = time.Time{}
+}
+
 // resetArrival restarts the time without an event after a reroute. The current gap does not count towards meanGap.
 func (w *watchdog) resetArrival() {
 	w.mu.Lock()
--- a/internal/gateway/watchdog_test.go
+++ b/internal/gateway/watchdog_test.go
@@ -157,6 +157,20 @@
 	}
 }
 
+// TestSlowCallerIsNotStalledEngine guards against a stream that is cancelled because its caller does not read.
+func TestSlowCallerIsNotStalledEngine(t *testing.T) {
+	w := &watchdog{lastArrival: time.Now()}
+	w.beginWrite()
+	w.lastArrival, w.writingSince = w.lastArrival.Add(-time.Minute), w.writingSince.Add(-time.Minute)
+	if idle, _, _ := w.state(); idle != 0 {
+		t.Errorf("while an event is written the stream counts as idle for %v", idle)
+	}
+	w.endWrite()
+	if idle, _, _ := w.state(); idle > time.Second {
+		t.Errorf("after an event was written the stream counts as idle for %v", idle)
+	}
+}
+
 // TestReroutesOneAtATime guards against overlapping reroutes of a stream. They occur if two engines of its path have to
 // be replaced at once, one that is lost and one that unloads layers, and would leave the first engine and this instance
 // with different paths. The stream has to end on a path without both engines.
