Remember departed targets across several restores

Callers would see: requests to a target that is known to be gone, after the store was restored twice, or soon after an outage (DRAIN).

Cause: a second restore replaced what was remembered of the first, and a removal whose grace period was over, but not yet acted on, was undone by the entry of the copy.

Change: what is remembered is merged, absences start anew, and the table is tidied up before a restore.

Result: TestSecondRestore (both cases) and TestTargetPastItsGracePeriodIsGone fail without it and pass.

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -123,7 +123,7 @@
 
 // New returns an empty fleet.
 func New() *Fleet {
-	return &Fleet{targets: table.New[entity.TargetID, State](), departed: make(departures)}
+	return &Fleet{targets: table.New[entity.TargetID, State](), departed: make(departures), departedBefore: make(departures)}
 }
 
 // Get returns the state of a target, or nil if it is unknown.
--- a/core/fleet/restore.go
+++ b/core/fleet/restore.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"maps"
 	"time"
 
 	"github.com/hyssophoist/hyssophoist/core/entity"
@@ -46,9 +47,14 @@
 func (f *Fleet) StoreRestored(now time.Time) {
 	f.RecordStoreFailure(now)
 	f.restoredAt = now
-	f.departedBefore, f.departed = f.departed, make(departures)
+	f.Tick(now)
+	maps.Copy(f.departedBefore, f.departed)
+	clear(f.departed)
 	for _, state := range f.targets.All {
 		state.beforeRestore = true
+		if now.Before(state.absentUntil) {
+			state.absentUntil = now.Add(absenceTime)
+		}
 	}
 }
 
--- a/core/fleet/restore_test.go
+++ b/core/fleet/restore_test.go
@@ -86,3 +86,39 @@
 		t.Error("the target is not in service")
 	}
 }
+
+// TestSecondRestore guards against a target that is known to be gone and is used because the store was restored twice.
+func TestSecondRestore(t *testing.T) {
+	at := func(d time.Duration) time.Time { return time.Unix(100, 0).Add(d) }
+	gone := Target{ID: "t", Born: 1, Revision: 3}
+	for _, listedBetween := range []bool{false, true} {
+		f := New()
+		f.Put(gone)
+		f.Remove(at(0), "t")
+		f.StoreRestored(at(time.Second))
+		if listedBetween {
+			f.Put(gone)
+		}
+		f.StoreRestored(at(5 * time.Second))
+		f.Put(gone)
+		if state := f.Get("t"); state.InService(at(8 * time.Second)) {
+			t.Errorf("in the first copy %v: in service 3 s after the second restore", listedBetween)
+		}
+	}
+}
+
+// TestTargetPastItsGracePeriodIsGone guards against a target that left during an outage and is used again because a copy
+// was read before the table was tidied up.
+func TestTargetPastItsGracePeriodIsGone(t *testing.T) {
+	f := New()
+	now := time.Unix(100, 0)
+	f.Put(Target{ID: "t", Born: 1, Revision: 3})
+	f.RecordStoreFailure(now)
+	f.Remove(now, "t")
+	now = now.Add(removalGracePeriod)
+	f.StoreRestored(now)
+	f.Put(Target{ID: "t", Born: 1, Revision: 3})
+	if f.Get("t").InService(now) {
+		t.Error("the target is in service")
+	}
+}
