Read without a wait after a failed read of the store

Callers would see: a confirmed configuration that is in force after 15 s, if the only instance of a zone reconnects when the restored store has passed the old version: its call pends, and only the answer shows the era.

Cause: a reader waited for changes in its first call after a failure, and net/http can send a read again by itself, which hides the failure. An era that another call or instance showed could be forgotten by an answer that was already on its way.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -128,9 +128,12 @@
 	t *tables, p *placer.Placer, sharer *loadshare.Sharer, m *Metrics) *Daemon {
 	m.registerTables(t)
 	m.registerStore(store)
-	store.OnRestore = func(before, era uint64) {
-		log.Event("store was restored from a copy", "era", era, "before", before)
+	store.OnEra = func(before, era uint64) {
 		t.observeEra(era)
+		if before != 0 {
+			log.Event("store was restored from a copy", "era", era, "before", before)
+			sharer.StoreRestored()
+		}
 	}
 	m.registerGateway(g)
 	g.OnCrash(sharer.Announce)
--- a/internal/edge/restore_test.go
+++ b/internal/edge/restore_test.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"testing"
@@ -63,6 +64,29 @@
 	}
 }
 
+// TestChangeBelowOldVersionIsInForce guards against the only instance of a zone waiting for changes after a version that the
+// restored store has already passed when it reconnects.
+func TestChangeBelowOldVersionIsInForce(t *testing.T) {
+	t.Parallel()
+	d := newDeployment(t)
+	d.addDaemonAndAwaitPlacement()
+	time.Sleep(time.Second) // until the lease is released, so that no other call shows the era
+	content := d.store.Copy()
+	d.configure(2, "key-2")
+	d.awaitKey("key-2")
+	row := func(version int, key string) edgeplatform.Row {
+		configuration := edgeplatform.Configuration{Version: version, Account: "account-1", Keys: []string{key}, PostAttempts: 1}
+		value, err := json.Marshal(configuration.Row())
+		if err != nil {
+			t.Fatal(err)
+		}
+		return edgeplatform.Row{Table: "op", Key: "config", Value: value}
+	}
+	other := edgeplatform.Row{Table: "other", Key: "other"}
+	d.store.Restore(content, row(3, "key-3"), other, other)
+	d.awaitKey("key-3")
+}
+
 // TestConfigurationDoesNotRevertAfterRestore guards against an older configuration in force because the store came back
 // from a copy.
 func TestConfigurationDoesNotRevertAfterRestore(t *testing.T) {
--- a/internal/emulator/edgeplatform/store.go
+++ b/internal/emulator/edgeplatform/store.go
@@ -96,11 +96,15 @@
 	return StoreCopy{version: s.version, rows: maps.Clone(s.rows), history: slices.Clone(s.history)}
 }
 
-// Restore replaces the content by a copy, as after the loss of what was acknowledged since. Open connections are reset.
-func (s *Store) Restore(content StoreCopy) {
+// Restore replaces the content by a copy, as after the loss of what was acknowledged since. Rows in written are written
+// again, each with a version of its own, before any call is answered. Open connections are reset.
+func (s *Store) Restore(content StoreCopy, written ...Row) {
 	s.mu.Lock()
 	s.version, s.rows, s.history = content.version, maps.Clone(content.rows), slices.Clone(content.history)
 	s.era++
+	for _, row := range written {
+		s.apply(row)
+	}
 	s.mu.Unlock()
 	s.server.CloseClientConnections()
 }
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -100,8 +100,10 @@
 	mu    sync.Mutex
 	cache tablecache.Cache
 	role  tablecache.Role
-	// needSnapshot is set when the store has lost the history after the version of the cache.
+	// needSnapshot is set when the store has lost the history after the version of the cache, or has entered a later era.
 	needSnapshot bool
+	// observedEra is the highest era of the store that a call for something else has shown.
+	observedEra uint64
 	// readNow is set when the next read must not wait for its time; no read takes place before notBefore.
 	readNow   bool
 	notBefore time.Time
@@ -214,6 +216,9 @@
 	w.mu.Lock()
 	change := w.cache.ApplyShared(boottime.Now(), batch)
 	version := w.cache.Version()
+	if change.Restored && version.Era() >= w.observedEra {
+		w.needSnapshot = false
+	}
 	w.mu.Unlock()
 	w.deliver(change, version)
 }
@@ -249,9 +254,11 @@
 	case w.lagSince.IsZero():
 		w.lagSince = now
 	case w.cancelCall != nil && now.Sub(w.lagSince) > maxLag && now.Sub(w.callStart) > maxLag:
+		w.needSnapshot = w.needSnapshot || w.peerVersion.Era() > w.cache.Version().Era()
 		w.cancelCall(errLagging)
 		w.lagSince = time.Time{}
 	case w.cancelCall == nil && !w.role.Reader && now.Sub(w.lagSince) > maxSharedLag:
+		w.needSnapshot = w.needSnapshot || w.peerVersion.Era() > w.cache.Version().Era()
 		w.readNow = true
 		w.lagSince = time.Time{}
 		w.Wake()
@@ -264,6 +271,7 @@
 func (w *Watcher) ObserveEra(era uint64) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.observedEra = max(w.observedEra, era)
 	if !w.cache.Loaded() || w.cache.Version().Era() >= era {
 		return
 	}
@@ -271,6 +279,7 @@
 	if w.cancelCall != nil {
 		w.cancelCall(errRestored)
 	}
+	w.Wake()
 }
 
 // Run follows the table until ctx ends.
@@ -375,7 +384,8 @@
 	if w.failures > 0 {
 		log.Event("store regained", "table", w.options.Table, "version", batch.Version, "failures", w.failures)
 	}
-	w.failures, w.failedAt, w.needSnapshot = 0, time.Time{}, false
+	w.failures, w.failedAt = 0, time.Time{}
+	w.needSnapshot = version.Era() < w.observedEra
 	w.notBefore = now.Add(w.options.CoalesceInterval)
 	w.mu.Unlock()
 	w.deliver(change, version)
@@ -391,6 +401,9 @@
 	started := boottime.Now()
 	whole, version := !w.cache.Loaded() || w.needSnapshot, w.cache.Version()
 	wait := w.options.Policy.PollWait(w.role, w.cache.State(started).Age)
+	if w.failures > 0 {
+		wait = 0 // the store may be another one, whose era only an answer shows
+	}
 	w.readNow = false
 	w.mu.Unlock()
 	var batch tablecache.Batch
