Exchange no tables with instances that do not know eras

Callers would see: during an update from an earlier version of the program, instances that miss changes: an old collector confirms the copy of a new member, whose rows then count as older, and an old member asks the store for changes after a version that includes an era.

Cause: versions with and without an era cannot be compared, but have the same form in messages.

Change: the fields that carry tables and versions have new names, which gob skips on the other side; both sides then take the other for one that says nothing of tables and read the store themselves, as for a collector of an earlier version. A batch of an earlier era is ignored whole.

Result: TestBatchOfEarlierEraDoesNotConfirm fails without it; TestCollectorOfEarlierVersion passes unchanged. Not run: an old and a new build side by side.

--- a/core/loadshare/loadshare.go
+++ b/core/loadshare/loadshare.go
@@ -66,9 +66,9 @@
 }
 
 // Versions holds the highest row versions that an instance has seen in the configuration and targets tables of the
-// store.
+// store. Its fields have other names than before versions had eras, since the numbers cannot be compared.
 type Versions struct {
-	Configuration, Targets rowversion.Version
+	NewestConfiguration, NewestTarget rowversion.Version
 }
 
 // Member identifies an instance.
--- a/core/tablecache/cache.go
+++ b/core/tablecache/cache.go
@@ -149,8 +149,12 @@
 	return change
 }
 
-// ApplyShared applies a batch from another instance. A batch that leaves a gap after this copy is ignored.
+// ApplyShared applies a batch from another instance. A batch that leaves a gap after this copy, or comes from an earlier
+// era of the store, is ignored.
 func (c *Cache) ApplyShared(now time.Time, batch Batch) Change {
+	if batch.Version.Era() < c.version.Era() {
+		return Change{}
+	}
 	outageAt := time.Time{}
 	if batch.OutageAge > 0 {
 		if at := now.Add(-batch.OutageAge); at.After(c.outageAt) {
--- a/core/tablecache/restore_test.go
+++ b/core/tablecache/restore_test.go
@@ -196,3 +196,15 @@
 	}
 	return ""
 }
+
+// TestBatchOfEarlierEraDoesNotConfirm guards against a copy that never gets too old because an instance that does not know
+// the eras of the store confirms it.
+func TestBatchOfEarlierEraDoesNotConfirm(t *testing.T) {
+	var c Cache
+	c.ApplyRead(start, Batch{Full: true, Version: rowversion.New(2, 5)})
+	confirmedAt := c.ConfirmedAt()
+	c.ApplyShared(start.Add(time.Second), Batch{After: rowversion.New(1, 90), Version: rowversion.New(1, 95)})
+	if !c.ConfirmedAt().Equal(confirmedAt) {
+		t.Errorf("the copy counts as confirmed %v later", c.ConfirmedAt().Sub(confirmedAt))
+	}
+}
--- a/internal/edge/tables.go
+++ b/internal/edge/tables.go
@@ -44,13 +44,15 @@
 
 // Versions implements loadshare.Tables.
 func (t *tables) Versions() coreloadshare.Versions {
-	return coreloadshare.Versions{Configuration: t.configuration.NewestVersion(), Targets: t.targets.NewestVersion()}
+	return coreloadshare.Versions{
+		NewestConfiguration: t.configuration.NewestVersion(), NewestTarget: t.targets.NewestVersion(),
+	}
 }
 
 // Observe implements loadshare.Tables.
 func (t *tables) Observe(versions coreloadshare.Versions) {
-	t.configuration.ObservePeerVersion(versions.Configuration)
-	t.targets.ObservePeerVersion(versions.Targets)
+	t.configuration.ObservePeerVersion(versions.NewestConfiguration)
+	t.targets.ObservePeerVersion(versions.NewestTarget)
 }
 
 // era returns the highest era of the store that the copies show.
--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -152,11 +152,11 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.table.SetReport(now, args.From, loadshare.Report{Loads: args.Loads, ReadsFailing: args.ReadsFailing})
-	if tables := s.options.Tables; tables != nil && args.States != nil {
-		s.memberStates[args.From.ID] = *args.States
-		tables.Offer(args.Batches)
+	if tables := s.options.Tables; tables != nil && args.Copies != nil {
+		s.memberStates[args.From.ID] = *args.Copies
+		tables.Offer(args.Changes)
 		states := tables.States()
-		reply.States, reply.Batches = &states, tables.Since(*args.States)
+		reply.Copies, reply.Changes = &states, tables.Since(*args.Copies)
 		reply.Reader = s.table.Reader(now, tables.ReadsFailing()).ID
 	}
 	s.observeVersions(args.Versions)
@@ -178,8 +178,8 @@
 	defer s.mu.Unlock()
 	s.table.RecordContact(now, args.From)
 	s.table.SetZoneLoads(now, args.From.Zone, args.Loads, args.Instances)
-	if s.options.Tables != nil && args.States != nil {
-		reply.Batches = s.options.Tables.News(*args.States)
+	if s.options.Tables != nil && args.Copies != nil {
+		reply.Changes = s.options.Tables.News(*args.Copies)
 	}
 	s.observeVersions(args.Versions)
 	reply.Self, reply.Versions = s.options.Self, s.versions()
@@ -210,8 +210,8 @@
 		return
 	}
 	s.options.Tables.Observe(versions)
-	if versions.Configuration > s.highestConfiguration {
-		s.highestConfiguration = versions.Configuration
+	if versions.NewestConfiguration > s.highestConfiguration {
+		s.highestConfiguration = versions.NewestConfiguration
 		s.Announce()
 	}
 }
@@ -304,11 +304,11 @@
 		return args
 	}
 	states := tables.States()
-	args.States, args.ReadsFailing = &states, tables.ReadsFailing()
+	args.Copies, args.ReadsFailing = &states, tables.ReadsFailing()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.collectorID == collector.ID && s.collectorStates != nil {
-		args.Batches = tables.News(*s.collectorStates)
+		args.Changes = tables.News(*s.collectorStates)
 	}
 	return args
 }
@@ -320,13 +320,13 @@
 	if tables == nil {
 		return
 	}
-	s.collectorID, s.collectorStates = reply.Self.ID, reply.States
-	tables.Offer(reply.Batches)
+	s.collectorID, s.collectorStates = reply.Self.ID, reply.Copies
+	tables.Offer(reply.Changes)
 	if states := tables.States(); !states.Configuration.Loaded || !states.Targets.Loaded {
 		time.AfterFunc(joinPeriod, s.Announce)
 	}
 	tables.SetRole(tablecache.Role{
-		Reader: reply.States == nil || reply.Reader == s.options.Self.ID, Followed: reply.States != nil,
+		Reader: reply.Copies == nil || reply.Reader == s.options.Self.ID, Followed: reply.Copies != nil,
 		Rank: s.table.Rank(time.Now()),
 	})
 }
@@ -380,7 +380,7 @@
 	tables := s.options.Tables
 	if tables != nil && tables.Stale() {
 		states := tables.States()
-		args.States = &states
+		args.Copies = &states
 	}
 	var reply ZoneReply
 	err := s.client.Call(ctx, collector.Address, zoneCall, args, &reply)
@@ -393,7 +393,7 @@
 	s.options.View.MergeCrashEvidence(reply.Crashes)
 	now := time.Now()
 	if tables != nil {
-		tables.Offer(reply.Batches)
+		tables.Offer(reply.Changes)
 	}
 	s.observeVersions(reply.Versions)
 	s.table.RecordContact(now, reply.Self)
--- a/internal/loadshare/loadshare_test.go
+++ b/internal/loadshare/loadshare_test.go
@@ -288,11 +288,11 @@
 	if _, found := tables.offered(2); !found {
 		t.Fatal("the change was not applied")
 	}
-	if args := s.shareArgs(collector, 2); args.Batches.isUrgent() {
-		t.Errorf("the next message has %+v", *args.Batches.Configuration)
+	if args := s.shareArgs(collector, 2); args.Changes.isUrgent() {
+		t.Errorf("the next message has %+v", *args.Changes.Configuration)
 	}
 	tables.read(3)
-	if args := s.shareArgs(collector, 2); !args.Batches.isUrgent() {
+	if args := s.shareArgs(collector, 2); !args.Changes.isUrgent() {
 		t.Error("a change that the member has read is not passed on")
 	}
 }
@@ -443,8 +443,8 @@
 	collector := newMember("a")
 	states := TableStates{Configuration: tablecache.State{Loaded: true, Version: 9}}
 	serveShare(t, collector.Address, ShareReply{
-		Self: loadshare.Member{ID: "x", Zone: "z"}, States: &states, Reader: "x",
-		Batches: TableBatches{Configuration: &tablecache.Batch{After: 1, Version: 9}},
+		Self: loadshare.Member{ID: "x", Zone: "z"}, Copies: &states, Reader: "x",
+		Changes: TableBatches{Configuration: &tablecache.Batch{After: 1, Version: 9}},
 	})
 	tables := newFakeTables(1)
 	startSharer(t, newMember("b"), listing(t, collector), tables)
--- a/internal/loadshare/message.go
+++ b/internal/loadshare/message.go
@@ -61,6 +61,9 @@
 	return batches, err
 }
 
+// The fields Copies and Changes were named States and Batches until versions had eras. Instances of earlier versions of the
+// program know only the old names, so that they and later ones exchange no tables and read the store themselves.
+
 // ShareArgs reports the loads of an instance to the collector of its zone.
 type ShareArgs struct {
 	From  loadshare.Member
@@ -70,10 +73,10 @@
 	Versions loadshare.Versions
 	// SkipLoads reports whether the sender needs no loads in the reply.
 	SkipLoads bool
-	// States describes the sender's copies of the store's tables; nil if it does not take changes from other instances.
-	States *TableStates
-	// Batches holds what the collector lacked according to its last reply.
-	Batches TableBatches
+	// Copies describes the sender's copies of the store's tables; nil if it does not take changes from other instances.
+	Copies *TableStates
+	// Changes holds what the collector lacked according to its last reply.
+	Changes TableBatches
 	// ReadsFailing reports whether the sender cannot read the store.
 	ReadsFailing bool
 	// Crashes holds what the sender knows of requests that crash engines.
@@ -89,9 +92,9 @@
 	// Members lists the instances of the zone. It is set only if their number differs from ShareArgs.Known.
 	Members  []loadshare.Member
 	Versions loadshare.Versions
-	// States describes the collector's copies of the store's tables, and Batches holds what the sender lacks.
-	States  *TableStates
-	Batches TableBatches
+	// Copies describes the collector's copies of the store's tables, and Changes holds what the sender lacks.
+	Copies  *TableStates
+	Changes TableBatches
 	// Reader is the instance that follows the tables of the store for the zone.
 	Reader entity.DaemonID
 	// Crashes holds what the sender knows of requests that crash engines.
@@ -117,8 +120,8 @@
 	Loads     loadshare.Loads
 	Instances int
 	Versions  loadshare.Versions
-	// States describes the sender's copies of the store's tables if its zone cannot read the store; else nil.
-	States *TableStates
+	// Copies describes the sender's copies of the store's tables if its zone cannot read the store; else nil.
+	Copies *TableStates
 	// Crashes holds what the sender knows of requests that crash engines.
 	Crashes []quarantine.Evidence
 }
@@ -129,8 +132,8 @@
 	Loads     loadshare.Loads
 	Instances int
 	Versions  loadshare.Versions
-	// Batches holds what the sender's copies lack if ZoneArgs.States is set.
-	Batches TableBatches
+	// Changes holds what the sender's copies lack if ZoneArgs.Copies is set.
+	Changes TableBatches
 	// Crashes holds what the sender knows of requests that crash engines.
 	Crashes []quarantine.Evidence
 }
