--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -21,7 +21,6 @@
 	"go.uber.org/fx"
 	"go.uber.org/fx/fxevent"
 
-	"github.com/hyssophoist/hyssophoist/core/drain"
 	"github.com/hyssophoist/hyssophoist/core/entity"
 	"github.com/hyssophoist/hyssophoist/core/fleet"
 	coreloadshare "github.com/hyssophoist/hyssophoist/core/loadshare"
@@ -38,10 +37,6 @@
 )
 
 const (
-	// stopMargin is the part of the grace time that is reserved for shutdown after draining.
-	stopMargin = 400 * time.Millisecond
-	// answerMargin is the part of stopMargin in which the callers of cancelled requests get an answer.
-	answerMargin = 150 * time.Millisecond
 	// headerTimeout and idleTimeout limit a caller's connection. Callers reuse connections that have been idle for most
 	// of the idle timeout in the configuration (routing.Limits), so idleTimeout is greater than all such timeouts.
 	headerTimeout  = 10 * time.Second
@@ -196,18 +191,6 @@
 	return nil
 }
 
-// listenForCallers is like listen, but tracks the connections, so that the daemon can stop without dropping requests.
-func (d *Daemon) listenForCallers() error {
-	listener, err := net.Listen("tcp", d.settings.Front)
-	if err != nil {
-		return fmt.Errorf("listen on %s: %w", d.settings.Front, err)
-	}
-	d.callers = callerconn.Track(listener.(*net.TCPListener), callerconn.Options{OnUnanswered: d.recordUnanswered})
-	d.front.ConnState = d.callers.SetState
-	d.serve(d.front, d.callers)
-	return nil
-}
-
 // serve serves the connections of a listener in the background until the listener is closed.
 func (d *Daemon) serve(server *http.Server, listener net.Listener) {
 	d.wg.Go(func() {
@@ -218,13 +201,6 @@
 	})
 }
 
-// recordUnanswered records that the connection of a caller was closed without an answer to what it had sent.
-func (d *Daemon) recordUnanswered(u callerconn.Unanswered) {
-	d.metrics.UnansweredConnections.Inc()
-	log.Event("connection closed without an answer", "remote", u.Remote, "received", u.Received, "unread", u.Unread,
-		"ms", u.Waited.Milliseconds(), "stopping", d.draining.Load())
-}
-
 // maintain runs the periodic work: it closes idle connections, drops expired targets and old evidence on crashes, and
 // checks slow engines again.
 func (d *Daemon) maintain(ctx context.Context) {
@@ -274,31 +250,6 @@
 	return ""
 }
 
-// drain reports the daemon as not ready and accepts connections until the balancer sends no more (see core/drain). It
-// then closes those that carry no request, and waits for the requests in progress. Those that last until stopMargin
-// before the end of the grace time are cancelled, so that their callers get an answer.
-func (d *Daemon) drain() {
-	now := time.Now()
-	stop := drain.Stop{BegunAt: now, EndAt: now.Add(time.Duration(d.settings.StopGrace) - stopMargin)}
-	d.draining.Store(true)
-	d.gateway.StartDraining(stop)
-	d.placer.Stop()
-	log.Event("stopping", "daemon", d.settings.Daemon, "grace", time.Duration(d.settings.StopGrace))
-	time.Sleep(time.Until(stop.AcceptUntil()))
-	ctx, cancel := context.WithDeadline(context.Background(), stop.EndAt)
-	defer cancel()
-	if err := d.callers.Finish(ctx); err == nil {
-		return
-	}
-	log.Event("requests are cut off at the end of the grace time", "connections", d.callers.Count())
-	d.gateway.CancelRequests()
-	ctx, cancel = context.WithTimeout(context.Background(), answerMargin)
-	defer cancel()
-	if err := d.callers.Wait(ctx); err != nil {
-		log.Event("connections are closed at the end of the grace time", "connections", d.callers.Count())
-	}
-}
-
 func (d *Daemon) stop(context.Context) error {
 	d.cancel()
 	err := d.front.Close()
--- /dev/null
+++ b/internal/edge/stop.go
@@ -0,0 +1,62 @@
+package edge
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/hyssophoist/hyssophoist/core/drain"
+	"github.com/hyssophoist/hyssophoist/internal/callerconn"
+)
+
+const (
+	// stopMargin is the part of the grace time that is reserved for shutdown after draining.
+	stopMargin = 400 * time.Millisecond
+	// answerMargin is the part of stopMargin in which the callers of cancelled requests get an answer.
+	answerMargin = 150 * time.Millisecond
+)
+
+// listenForCallers is like listen, but tracks the connections, so that the daemon can stop without dropping requests.
+func (d *Daemon) listenForCallers() error {
+	listener, err := net.Listen("tcp", d.settings.Front)
+	if err != nil {
+		return fmt.Errorf("listen on %s: %w", d.settings.Front, err)
+	}
+	d.callers = callerconn.Track(listener.(*net.TCPListener), callerconn.Options{OnUnanswered: d.recordUnanswered})
+	d.front.ConnState = d.callers.SetState
+	d.serve(d.front, d.callers)
+	return nil
+}
+
+// recordUnanswered records that the connection of a caller was closed without an answer to what it had sent.
+func (d *Daemon) recordUnanswered(u callerconn.Unanswered) {
+	d.metrics.UnansweredConnections.Inc()
+	log.Event("connection closed without an answer", "remote", u.Remote, "received", u.Received, "unread", u.Unread,
+		"ms", u.Waited.Milliseconds(), "stopping", d.draining.Load())
+}
+
+// drain reports the daemon as not ready and accepts connections until the balancer sends no more (see core/drain). It
+// then closes those that carry no request, and waits for the requests in progress. Those that last until stopMargin
+// before the end of the grace time are cancelled, so that their callers get an answer.
+func (d *Daemon) drain() {
+	now := time.Now()
+	stop := drain.Stop{BegunAt: now, EndAt: now.Add(time.Duration(d.settings.StopGrace) - stopMargin)}
+	d.draining.Store(true)
+	d.gateway.StartDraining(stop)
+	d.placer.Stop()
+	log.Event("stopping", "daemon", d.settings.Daemon, "grace", time.Duration(d.settings.StopGrace))
+	time.Sleep(time.Until(stop.AcceptUntil()))
+	ctx, cancel := context.WithDeadline(context.Background(), stop.EndAt)
+	defer cancel()
+	if err := d.callers.Finish(ctx); err == nil {
+		return
+	}
+	log.Event("requests are cut off at the end of the grace time", "connections", d.callers.Count())
+	d.gateway.CancelRequests()
+	ctx, cancel = context.WithTimeout(context.Background(), answerMargin)
+	defer cancel()
+	if err := d.callers.Wait(ctx); err != nil {
+		log.Event("connections are closed at the end of the grace time", "connections", d.callers.Count())
+	}
+}
