End accepting while callers go on connecting to a stopping server

Cause: each connection that arrived after the linger time gave the listener 0.1 s more, so that under steady arrivals the daemon accepted until the end of the grace time and then closed connections on which requests had just been read. Besides, the answer to a request from before the stop did not ask its caller to close the connection.

Change: the last accept extends the deadline once; each response that begins during a stop has Connection: close.

--- a/internal/callerconn/callerconn.go
+++ b/internal/callerconn/callerconn.go
@@ -19,8 +19,8 @@
 )
 
 const (
-	// lastAcceptTime bounds the wait for a connection after drain.Linger. A listener whose deadline has passed does not
-	// look into its queue, so connections that arrived in a pause of the process need another try.
+	// lastAcceptTime is how long connections are accepted once more after drain.Linger: a listener whose deadline has
+	// passed does not look into its queue, so that those which arrived in a pause of the process would be reset.
 	lastAcceptTime = 100 * time.Millisecond
 	// finishPollInterval is the time between two checks whether all connections have ended.
 	finishPollInterval = 5 * time.Millisecond
@@ -54,6 +54,8 @@
 	mu        sync.Mutex
 	conns     map[*conn]struct{}
 	finishing bool
+	// acceptsOnceMore reports whether the deadline of Finish has passed, and another one is set.
+	acceptsOnceMore bool
 	// accepted is closed when Accept has returned ErrFinished.
 	accepted chan struct{}
 	end      sync.Once
@@ -69,10 +71,7 @@
 // Accept implements net.Listener. After Finish it returns the connections in the queue, and then ErrFinished.
 func (l *Listener) Accept() (net.Conn, error) {
 	inner, err := l.TCPListener.Accept()
-	if errors.Is(err, os.ErrDeadlineExceeded) {
-		if err := l.TCPListener.SetDeadline(time.Now().Add(lastAcceptTime)); err != nil {
-			return nil, err
-		}
+	if errors.Is(err, os.ErrDeadlineExceeded) && l.acceptOnceMore() {
 		inner, err = l.TCPListener.Accept()
 	}
 	if errors.Is(err, os.ErrDeadlineExceeded) {
@@ -85,6 +84,18 @@
 	return l.track(inner), nil
 }
 
+// acceptOnceMore sets the deadline of the listener to lastAcceptTime from now. It returns false if it has done so before:
+// connections may go on arriving.
+func (l *Listener) acceptOnceMore() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.acceptsOnceMore {
+		return false
+	}
+	l.acceptsOnceMore = true
+	return l.TCPListener.SetDeadline(time.Now().Add(lastAcceptTime)) == nil
+}
+
 func (l *Listener) track(inner net.Conn) *conn {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/callerconn/callerconn_test.go
+++ b/internal/callerconn/callerconn_test.go
@@ -173,6 +173,30 @@
 	<-finished
 }
 
+// TestFinishEndsWhileConnectionsArrive guards against a server that does not end because callers go on connecting.
+func TestFinishEndsWhileConnectionsArrive(t *testing.T) {
+	s := newTestServer(t)
+	s.serve()
+	ctx, cancel := context.WithCancel(context.Background())
+	var dialing sync.WaitGroup
+	dialing.Go(func() {
+		for ctx.Err() == nil {
+			if c, err := net.Dial("tcp", s.address); err == nil {
+				_, _ = io.WriteString(c, get("/arriving")) // the caller does not wait for an answer
+				time.AfterFunc(50*time.Millisecond, func() { c.Close() })
+			}
+			time.Sleep(5 * time.Millisecond)
+		}
+	})
+	defer dialing.Wait()
+	defer cancel()
+	started := time.Now()
+	s.finish()
+	if took := time.Since(started); took > 2*time.Second {
+		t.Errorf("took %v", took)
+	}
+}
+
 // TestFinishClosesIdleConnections guards against a server that does not end while callers keep connections open.
 func TestFinishClosesIdleConnections(t *testing.T) {
 	s := newTestServer(t)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -177,7 +177,7 @@
 	}
 }
 
-// StartDraining makes the gateway ask callers to close their connections after each response, and refuse requests that
+// StartDraining makes the gateway ask callers to close their connections after each response that it begins, and refuse requests that
 // the stopping instance may be unable to finish.
 func (g *Gateway) StartDraining(stop drain.Stop) { g.stop.Store(&stop) }
 
@@ -243,9 +243,6 @@
 		g.options.Codec.WriteError(w, "", errkind.Of(err), 0)
 		return
 	}
-	if g.stop.Load() != nil {
-		w.Header().Set("Connection", "close")
-	}
 	q := &request{Call: call, gateway: g, writer: w, arrivedAt: arrived}
 	q.serve()
 }
@@ -435,6 +432,7 @@
 // endWithError ends the request with an error response written by the gateway. It writes the response even if the
 // caller has disconnected: one that has closed only its sending side still reads it.
 func (q *request) endWithError(kind errkind.Kind) {
+	q.closeWhileStopping()
 	q.gateway.options.Codec.WriteError(q.writer, q.ID, kind, retryAfter(kind))
 	result := kind
 	if q.Request.Context().Err() != nil {
@@ -443,6 +441,14 @@
 	q.recordEnd(string(result), strconv.Itoa(errkind.ResponseFor(kind).Status))
 }
 
+// closeWhileStopping asks the caller to close its connection if the instance stops. It must be called before the head of
+// the response is written.
+func (q *request) closeWhileStopping() {
+	if q.gateway.stop.Load() != nil {
+		q.writer.Header().Set("Connection", "close")
+	}
+}
+
 // retryAfter returns the delay after which a caller should retry, or 0 for errors that it should not retry. The jitter
 // prevents refused callers from retrying at the same time.
 func retryAfter(kind errkind.Kind) time.Duration {
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -188,6 +188,7 @@
 // writeResponse forwards a target's complete response to the caller.
 func (q *request) writeResponse(response *bufferedResponse) {
 	copyHeader(q.writer.Header(), response.head.Header)
+	q.closeWhileStopping()
 	q.writer.Header().Set("Content-Length", strconv.Itoa(len(response.body)))
 	q.writer.WriteHeader(response.head.Status)
 	if _, err := q.writer.Write(response.body); err != nil {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -370,6 +370,7 @@
 	}
 	s.headWritten = true
 	copyHeader(s.writer.Header(), x.head.Header)
+	s.closeWhileStopping()
 	s.writer.WriteHeader(x.head.Status)
 }
 
