Record the times of faults in one type in the soak

Cause: targets and daemons each record the times of their faults under their own mutex, and the faults of the store need the same.

Change: faultLog holds them. The lines of a daemon's log are read in one place.

--- a/test/soak/check_test.go
+++ b/test/soak/check_test.go
@@ -129,7 +129,7 @@
 	}
 	for _, r := range runs {
 		for _, t := range c.env.targets {
-			if strings.Contains(r.Hops, t.Address()+"=") && t.wasFaulty(s.sentAt, s.endedAt) {
+			if strings.Contains(r.Hops, t.Address()+"=") && t.faults.overlap(s.sentAt.Add(-deadlineSlack), s.endedAt) {
 				return
 			}
 		}
--- a/test/soak/daemon_test.go
+++ b/test/soak/daemon_test.go
@@ -1,10 +1,9 @@
 package soak
 
 import (
-	"bufio"
-	"bytes"
 	"encoding/json"
 	"fmt"
+	"iter"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -44,6 +43,8 @@
 	settingsFile string
 	// storeProxy is the proxy between the daemon and the platform's store.
 	storeProxy *faultproxy.Proxy
+	// pauses holds the times during which the process was suspended.
+	pauses faultLog
 
 	mu     sync.Mutex
 	cmd    *exec.Cmd
@@ -54,17 +55,34 @@
 	terminating bool
 	// killTimes and stopTimes hold when SIGKILL and SIGTERM were sent.
 	killTimes, stopTimes []time.Time
-	// pauses holds the times during which the process was suspended.
-	pauses  []period
-	logFile *os.File
+	logFile              *os.File
 }
 
 // period is a time during which a fault was present.
 type period struct{ from, to time.Time }
 
-// overlapsAny reports whether any of the given periods overlaps the time between from and to.
-func overlapsAny(periods []period, from, to time.Time) bool {
-	return slices.ContainsFunc(periods, func(p period) bool { return p.from.Before(to) && p.to.After(from) })
+// faultLog holds the times during which a fault was present. It is safe for concurrent use.
+type faultLog struct {
+	mu      sync.Mutex
+	periods []period
+}
+
+// record records that the fault was present since from.
+func (l *faultLog) record(from time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.periods = append(l.periods, period{from, time.Now()})
+}
+
+func (l *faultLog) all() []period {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Clone(l.periods)
+}
+
+// overlap reports whether the fault was present at some time between from and to.
+func (l *faultLog) overlap(from, to time.Time) bool {
+	return slices.ContainsFunc(l.all(), func(p period) bool { return p.from.Before(to) && p.to.After(from) })
 }
 
 // lastAddress is the number of the last loopback address that was given to a daemon of this test process.
@@ -179,16 +197,19 @@
 // mayInterrupt reports whether the daemon may have interrupted a request that was in progress between from and to:
 // the process was killed, or the grace time of a graceful shutdown was nearly over.
 func (d *daemon) mayInterrupt(from, to time.Time) bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return anyWithin(d.killTimes, 0, from, to) || anyWithin(d.stopTimes, nearGraceEnd, from, to)
+	return d.wasKilled(from, to) || d.endedGrace(from, to)
 }
 
 // wasDisturbed reports whether the process was killed or suspended between from and to.
 func (d *daemon) wasDisturbed(from, to time.Time) bool {
+	return d.wasKilled(from, to) || d.pauses.overlap(from, to)
+}
+
+// wasKilled reports whether the process was killed between from and to.
+func (d *daemon) wasKilled(from, to time.Time) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return anyWithin(d.killTimes, 0, from, to) || overlapsAny(d.pauses, from, to)
+	return anyWithin(d.killTimes, 0, from, to)
 }
 
 // endedGrace reports whether the grace time of a graceful shutdown was nearly over between from and to.
@@ -209,12 +230,8 @@
 // loggedUnanswered reports whether the daemon has logged that it closed the connection of a caller without an answer after
 // it had read size bytes or more.
 func (d *daemon) loggedUnanswered(caller string, size int) bool {
-	content, err := os.ReadFile(d.logFile.Name())
-	if err != nil {
-		d.t.Error(err)
-	}
-	for scanner := bufio.NewScanner(bytes.NewReader(content)); scanner.Scan(); {
-		_, fields, _ := strings.Cut(scanner.Text(), "connection closed without an answer\" ")
+	for line := range d.logLines() {
+		_, fields, _ := strings.Cut(line, "connection closed without an answer\" ")
 		received := 0
 		_, err := fmt.Sscanf(fields, fmt.Sprintf("remote=%q received=%%d", caller), &received)
 		if err == nil && received >= size {
@@ -224,15 +241,21 @@
 	return false
 }
 
+// logLines returns the lines that the processes of the daemon have logged.
+func (d *daemon) logLines() iter.Seq[string] {
+	content, err := os.ReadFile(d.logFile.Name())
+	if err != nil {
+		d.t.Error(err)
+	}
+	return strings.Lines(string(content))
+}
+
 // suspend suspends the process for the given duration.
 func (d *daemon) suspend(duration time.Duration) {
-	from := time.Now()
+	defer d.pauses.record(time.Now())
 	d.signal(syscall.SIGSTOP)
 	time.Sleep(duration)
 	d.signal(syscall.SIGCONT)
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.pauses = append(d.pauses, period{from, time.Now()})
 }
 
 func (d *daemon) signal(s syscall.Signal) {
--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -135,7 +135,7 @@
 
 func (f *faultInjector) targetBlockedOrSlow(random *rand.Rand, duration time.Duration) string {
 	t := f.randomTarget(random)
-	defer t.recordFault(time.Now())
+	defer t.faults.record(time.Now())
 	rules := faultproxy.Rules{Blocked: true}
 	if random.IntN(3) == 0 {
 		rules = faultproxy.Rules{Delay: 100 * time.Millisecond, Jitter: 200 * time.Millisecond}
@@ -149,7 +149,7 @@
 
 func (f *faultInjector) targetResetOrSilent(random *rand.Rand, _ time.Duration) string {
 	t := f.randomTarget(random)
-	defer t.recordFault(time.Now())
+	defer t.faults.record(time.Now())
 	if random.IntN(2) == 0 {
 		t.proxy.Blackhole()
 		return t.ID + " silenced"
@@ -169,7 +169,7 @@
 		return skipped
 	}
 	defer f.release(t.Target)
-	defer t.recordFault(time.Now())
+	defer t.faults.record(time.Now())
 	t.setMisbehaviour(variant)
 	time.Sleep(duration)
 	t.setMisbehaviour(edgeplatform.TargetFaults{})
@@ -193,7 +193,7 @@
 	if t.Card != "" {
 		after = random.IntN(streamEvents)
 	}
-	defer t.recordFault(time.Now())
+	defer t.faults.record(time.Now())
 	t.UpdateFaults(func(faults *edgeplatform.TargetFaults) { faults.SilentFor, faults.SilentAfter = silence, after })
 	time.Sleep(duration)
 	t.UpdateFaults(func(faults *edgeplatform.TargetFaults) { faults.SilentFor = 0 })
@@ -201,20 +201,6 @@
 	return fmt.Sprintf("%s, silent for %v after %d events", t.ID, silence, after)
 }
 
-// recordFault records that the target had a fault since from.
-func (t *target) recordFault(from time.Time) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.faults = append(t.faults, period{from, time.Now()})
-}
-
-// wasFaulty reports whether the target had a fault between from and to, or less than deadlineSlack before.
-func (t *target) wasFaulty(from, to time.Time) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return overlapsAny(t.faults, from.Add(-deadlineSlack), to)
-}
-
 // targetCrashes restarts a target without its state. Its entry expires if the target is unreachable for more than
 // entryTTL.
 func (f *faultInjector) targetCrashes(random *rand.Rand, duration time.Duration) string {
@@ -223,7 +209,7 @@
 		return skipped
 	}
 	defer f.release(t)
-	defer t.recordFault(time.Now())
+	defer t.faults.record(time.Now())
 	t.proxy.RefuseNew(true)
 	t.Restart()
 	time.Sleep(min(duration, entryTTL))
@@ -243,7 +229,7 @@
 		return skipped
 	}
 	defer f.release(t)
-	defer t.recordFault(time.Now())
+	defer t.faults.record(time.Now())
 	t.setState("draining")
 	time.Sleep(drainBound + duration)
 	t.setState("")
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -32,7 +32,7 @@
 	mu    sync.Mutex
 	state string // in the list of targets: "ready", "draining" or "" for none
 	// faults holds the times during which the target or its connections had a fault.
-	faults []period
+	faults faultLog
 }
 
 // environment is a deployment under test: the store, targets in two zones, and daemons.
