Restore the store from a copy in the soak

The entries of targets carry a sequence number since, so that each target wrote its entry every 50 ms, which hides what a restore loses.

Targets write entries only when they change. A second fault lets targets stay away after they have drained.

--- a/test/soak/daemon_test.go
+++ b/test/soak/daemon_test.go
@@ -43,8 +43,9 @@
 	settingsFile string
 	// storeProxy is the proxy between the daemon and the platform's store.
 	storeProxy *faultproxy.Proxy
-	// pauses holds the times during which the process was suspended.
-	pauses faultLog
+	// pauses holds the times during which the process was suspended, and storeFaults those during which the connections to
+	// the store were blocked or became silent.
+	pauses, storeFaults faultLog
 
 	mu     sync.Mutex
 	cmd    *exec.Cmd
--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -56,6 +56,8 @@
 	{"configuration", (*faultInjector).changeConfiguration},
 	{"target silent", (*faultInjector).targetSilent},
 	{"daemons stopped in series", (*faultInjector).daemonsStoppedInSeries},
+	{"store restored", (*faultInjector).storeRestored},
+	{"target leaves", (*faultInjector).targetLeaves},
 }
 
 // step starts a random fault and returns at once.
@@ -96,6 +98,9 @@
 		return skipped
 	}
 	defer f.release(f.env.store)
+	if fault.Down {
+		defer f.env.storeFaults.record(time.Now())
+	}
 	f.env.store.SetFaults(fault)
 	time.Sleep(duration)
 	f.env.store.SetFaults(edgeplatform.StoreFaults{})
@@ -117,6 +122,7 @@
 func (f *faultInjector) storeBlocked(random *rand.Rand, duration time.Duration) string {
 	d := f.env.daemons[random.IntN(len(f.env.daemons))]
 	direction := faultproxy.Direction(random.IntN(2))
+	defer d.storeFaults.record(time.Now())
 	d.storeProxy.SetRules(direction, faultproxy.Rules{Blocked: true})
 	time.Sleep(duration)
 	d.storeProxy.SetRules(direction, faultproxy.Rules{})
@@ -125,6 +131,7 @@
 
 func (f *faultInjector) storeSilent(random *rand.Rand, _ time.Duration) string {
 	d := f.env.daemons[random.IntN(len(f.env.daemons))]
+	defer d.storeFaults.record(time.Now())
 	d.storeProxy.Blackhole()
 	return d.name
 }
@@ -140,6 +147,7 @@
 	if random.IntN(3) == 0 {
 		rules = faultproxy.Rules{Delay: 100 * time.Millisecond, Jitter: 200 * time.Millisecond}
 	}
+	defer t.delays.record(time.Now())
 	direction := faultproxy.Direction(random.IntN(2))
 	t.proxy.SetRules(direction, rules)
 	time.Sleep(duration)
@@ -194,6 +202,7 @@
 		after = random.IntN(streamEvents)
 	}
 	defer t.faults.record(time.Now())
+	defer t.delays.record(time.Now())
 	t.UpdateFaults(func(faults *edgeplatform.TargetFaults) { faults.SilentFor, faults.SilentAfter = silence, after })
 	time.Sleep(duration)
 	t.UpdateFaults(func(faults *edgeplatform.TargetFaults) { faults.SilentFor = 0 })
@@ -229,12 +238,7 @@
 		return skipped
 	}
 	defer f.release(t)
-	defer t.faults.record(time.Now())
-	t.setState("draining")
-	time.Sleep(drainBound + duration)
-	t.setState("")
-	t.Restart()
-	t.setState("ready")
+	t.leave(drainBound+duration, 0)
 	return t.ID
 }
 
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -31,8 +31,14 @@
 
 	mu    sync.Mutex
 	state string // in the list of targets: "ready", "draining" or "" for none
-	// faults holds the times during which the target or its connections had a fault.
-	faults faultLog
+	// published is the entry that the target last wrote. It is written again at rewriteAt, if that is not zero.
+	published string
+	rewriteAt time.Time
+	// faults holds the times during which the target or its connections had a fault, and delays those during which
+	// requests may have arrived late.
+	faults, delays faultLog
+	// entries holds the states of the target's entry in the order of time.
+	entries []writtenEntry
 }
 
 // environment is a deployment under test: the store, targets in two zones, and daemons.
@@ -41,11 +47,15 @@
 	store   *edgeplatform.Store
 	targets []*target
 	daemons []*daemon
+	// storeFaults holds the times during which the store was down or about to be restored.
+	storeFaults faultLog
 
 	mu sync.Mutex
 	// version and key are those of the latest configuration.
 	version int
 	key     string
+	// copies holds recent copies of the store, oldest first.
+	copies []storeCopy
 }
 
 // newEnvironment starts a deployment in two zones. Each zone gets the given number of engines; the given number of
@@ -63,6 +73,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	var publishing sync.WaitGroup
 	publishing.Go(func() { env.publishTargets(ctx) })
+	publishing.Go(func() { env.keepCopies(ctx) })
 	t.Cleanup(func() {
 		cancel()
 		publishing.Wait()
@@ -90,23 +101,9 @@
 
 // publishTargets keeps the list of targets up to date until ctx ends, as the targets' heartbeats do.
 func (env *environment) publishTargets(ctx context.Context) {
-	published := make(map[string]string)
 	for ctx.Err() == nil {
 		for _, t := range env.targets {
-			t.mu.Lock()
-			state := t.state
-			t.mu.Unlock()
-			entry := ""
-			if state != "" {
-				entry = fmt.Sprint(t.Entry(state))
-			}
-			if published[t.ID] == entry {
-				continue
-			}
-			published[t.ID] = entry
-			if state == "" {
-				env.store.Remove("servers", t.ID)
-			} else if err := env.store.Put("servers", t.ID, t.Entry(state)); err != nil {
+			if err := env.publish(t); err != nil {
 				env.t.Error(err)
 			}
 		}
@@ -114,14 +111,53 @@
 	}
 }
 
+// publish writes the entry of a target, or removes it, if it has changed or must be written again.
+func (env *environment) publish(t *target) error {
+	env.mu.Lock()
+	defer env.mu.Unlock()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	description, now := t.describe(), time.Now()
+	again := !t.rewriteAt.IsZero() && now.After(t.rewriteAt)
+	if t.published == description && !again {
+		return nil
+	}
+	t.published = description
+	if again {
+		t.rewriteAt = time.Time{}
+	}
+	t.entries = append(t.entries, writtenEntry{now, t.state})
+	if t.state == "" {
+		env.store.Remove("servers", t.ID)
+		return nil
+	}
+	return env.store.Put("servers", t.ID, t.Entry(t.state))
+}
+
+// describe returns a text that changes with each part of the target's entry except for its sequence number. The caller
+// holds t.mu.
+func (t *target) describe() string {
+	if t.state == "" {
+		return ""
+	}
+	entry := t.Entry(t.state)
+	delete(entry, "seq")
+	return fmt.Sprint(entry)
+}
+
 // configure stores a new version of the configuration, in which accountKey and key are valid.
 func (env *environment) configure(key string) {
 	env.mu.Lock()
 	defer env.mu.Unlock()
 	env.version += 3
 	env.key = key
+	env.writeConfiguration()
+}
+
+// writeConfiguration writes the latest configuration. The caller holds env.mu.
+func (env *environment) writeConfiguration() {
 	configuration := edgeplatform.Configuration{
-		Version: env.version, Account: accountName, Keys: []string{accountKey, key}, PostAttempts: 2,
+		Version: env.version, Account: accountName, Keys: []string{accountKey, env.key}, PostAttempts: 2,
 	}
 	if err := env.store.Put("op", "config", configuration.Row()); err != nil {
 		env.t.Error(err)
