Check knowledge of the store and fencing numbers in the soak

Cause: the soak checked the configuration only at its end, and neither departures of targets nor the holders of the lease.

Change: probes with the last key and older ones show that each process applies the last configuration within its bound and never goes back. A target that leaves must get no request from a process that had the drain bound to read that without a fault. Targets record the fencing numbers of orders; each belongs to one process. A bound starts anew at the end of a fault of the store, and of a pause.

--- a/internal/emulator/edgeplatform/target.go
+++ b/internal/emulator/edgeplatform/target.go
@@ -99,6 +99,7 @@
 	from             int
 	to               int
 	orderCount       int
+	orders           []Order
 	maxOrderedLayers int
 	// inProgress counts the requests in progress.
 	inProgress int
@@ -333,6 +334,7 @@
 		Precondition *int   `json:"precondition"`
 		ID           string `json:"id"`
 		Path         string `json:"path"`
+		Fence        uint64 `json:"fence"`
 	}
 	if err := json.NewDecoder(r.Body).Decode(&order); err != nil {
 		w.WriteHeader(http.StatusBadRequest)
@@ -348,6 +350,7 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	t.orders = append(t.orders, Order{Fence: order.Fence, At: time.Now()})
 	if order.Precondition != nil && *order.Precondition != t.orderCount {
 		w.WriteHeader(http.StatusConflict)
 		return
@@ -358,6 +361,20 @@
 	w.WriteHeader(http.StatusAccepted)
 }
 
+// Order is an order to hold layers that a target has received, whether it was carried out or not.
+type Order struct {
+	// Fence is the fencing number.
+	Fence uint64
+	At    time.Time
+}
+
+// Orders returns the orders to hold layers that the target has received.
+func (t *Target) Orders() []Order {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return append([]Order(nil), t.orders...)
+}
+
 // reroute handles an order to send a waiting stream along a new path. The stream continues if that path does not
 // contain the engine for which it waits. The caller holds t.mu.
 func (t *Target) reroute(w http.ResponseWriter, id, path string) {
--- a/test/soak/callers_test.go
+++ b/test/soak/callers_test.go
@@ -40,6 +40,8 @@
 	mu  sync.Mutex
 	// requests holds every request that was sent.
 	requests []*sentRequest
+	// probes holds every probe of a key.
+	probes []keyProbe
 	// crossed counts the requests without an answer that crossed the end of their connection.
 	crossed int
 }
@@ -59,6 +61,9 @@
 			running.Go(func() { caller.run(ctx) })
 		}
 	}
+	for i, d := range c.env.daemons {
+		running.Go(func() { c.probeKeys(ctx, d, rand.New(rand.NewPCG(seed, uint64(1000+i)))) })
+	}
 	running.Wait()
 }
 
--- a/test/soak/check_test.go
+++ b/test/soak/check_test.go
@@ -58,6 +58,9 @@
 		}
 	}
 	c.checkRetryBudget()
+	c.checkConfigurations()
+	c.checkDepartures()
+	c.checkFencing()
 	c.env.t.Logf("%d requests, %d of them crossed the end of their connection: %v", len(c.requests), c.crossed, counts)
 }
 
@@ -218,6 +221,11 @@
 				requests = append(requests, s.sentAt)
 			}
 		}
+		for _, probe := range c.probes {
+			if service == "ledger" && probe.accepted() {
+				requests = append(requests, probe.sentAt)
+			}
+		}
 		sort.Slice(requests, func(i, j int) bool { return requests[i].Before(requests[j]) })
 		for i, start := range retries {
 			retryCount := count(retries[i:], start, start.Add(retrySpan))
--- a/test/soak/daemon_test.go
+++ b/test/soak/daemon_test.go
@@ -56,7 +56,9 @@
 	terminating bool
 	// killTimes and stopTimes hold when SIGKILL and SIGTERM were sent.
 	killTimes, stopTimes []time.Time
-	logFile              *os.File
+	// processes holds the time of each process from its start to its exit; the last one may not have ended.
+	processes []period
+	logFile   *os.File
 }
 
 // period is a time during which a fault was present.
@@ -160,8 +162,13 @@
 	d.cmd, d.exited = cmd, make(chan struct{})
 	d.settings.FirstStart = false
 	d.terminating, d.startedAt = false, time.Now()
+	d.processes = append(d.processes, period{from: d.startedAt})
+	number := len(d.processes) - 1
 	go func(exited chan struct{}) {
 		err := cmd.Wait()
+		d.mu.Lock()
+		d.processes[number].to = time.Now()
+		d.mu.Unlock()
 		close(exited)
 		d.handleExit(err)
 	}(d.exited)
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -114,7 +114,7 @@
 // probe sends one request over a new connection.
 func (env *environment) probe(d *daemon, route, key string) *sentRequest {
 	s := &sentRequest{
-		id: fmt.Sprintf("probe-%d", time.Now().UnixNano()), route: route, path: "/" + route + "/probe", body: "probe", daemon: d,
+		id: fmt.Sprintf("probe-%s-%d", d.name, time.Now().UnixNano()), route: route, path: "/" + route + "/probe", body: "probe", daemon: d,
 	}
 	transport := &http.Transport{DisableKeepAlives: true}
 	(&callers{env: env}).sendWithKey(transport, s, key)
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -54,6 +54,8 @@
 	// version and key are those of the latest configuration.
 	version int
 	key     string
+	// configurations holds all configurations in the order of their versions.
+	configurations []writtenConfiguration
 	// copies holds recent copies of the store, oldest first.
 	copies []storeCopy
 }
@@ -151,7 +153,9 @@
 	defer env.mu.Unlock()
 	env.version += 3
 	env.key = key
+	begunAt := time.Now()
 	env.writeConfiguration()
+	env.configurations = append(env.configurations, writtenConfiguration{env.version, key, begunAt, time.Now()})
 }
 
 // writeConfiguration writes the latest configuration. The caller holds env.mu.
