Keep targets that leave by their own response out of service

Cause: some targets never show in the list that they drain, or show it late, but say so in each response. Nothing kept that.

Change: core/fleet remembers the process (id and start time) with the time of its first such response, beside the table, so that entries of the same process in any order do not undo it. The target is not in service.

--- a/core/fleet/choose.go
+++ b/core/fleet/choose.go
@@ -16,20 +16,26 @@
 	crossZonePenalty = 0.25
 	// suspectPenalty is added to the cost of a target that is suspected or down, in seconds, so that it is chosen last.
 	suspectPenalty = 1000.0
+	// lastResortPenalty is added to the cost of a target that leaves by its own response, in seconds, so that it is chosen
+	// only if there is no other.
+	lastResortPenalty = 1e6
 )
 
 // ChoosePlain returns the target with the lowest expected latency for a plain service, whose calls are each served by a
 // single target, or nil if there is none. Targets in tried are skipped; a target that is suspected or down is chosen
-// only if there is no other.
+// only if there is no other, and one that leaves by its own response only as a last resort.
 func (f *Fleet) ChoosePlain(now time.Time, service entity.ServiceID, zone entity.ZoneID,
 	tried map[entity.TargetID]bool) *State {
 	var best *State
 	bestCost := 0.0
 	for id, state := range f.targets.All {
-		if state.Service != service || tried[id] || !state.InService(now) {
+		if state.Service != service || tried[id] || !state.InService(now) && !f.LastResort(now, state) {
 			continue
 		}
 		cost := plainCost(now, state, zone)
+		if !state.InService(now) {
+			cost += lastResortPenalty
+		}
 		if best == nil || cost < bestCost {
 			best, bestCost = state, cost
 		}
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -91,6 +91,8 @@
 	// beforeRestore reports whether the entry was read before the store was restored from a copy, which may have an
 	// older one.
 	beforeRestore bool
+	// leavingSince is when the target's process first said in a response that it leaves; zero if it has not.
+	leavingSince time.Time
 	// absentUntil is when a target that was known to be gone, and is in the list again since the store was restored,
 	// counts as alive; zero for others.
 	absentUntil time.Time
@@ -101,14 +103,22 @@
 	return s.InService(now) && !now.Before(s.suspectUntil) && !s.Down(now)
 }
 
-// InService reports whether the target is listed, or within its removal grace period, and neither draining nor known to be
+// InService reports whether the target is listed, or within its removal grace period, and neither leaving nor known to be
 // gone. It may still be suspected or down.
 func (s *State) InService(now time.Time) bool {
+	return s.listedAsReady(now) && s.leavingSince.IsZero()
+}
+
+// listedAsReady is InService without regard to what the target says in its responses.
+func (s *State) listedAsReady(now time.Time) bool {
 	return !s.Draining && (s.removeAt.IsZero() || now.Before(s.removeAt)) && !now.Before(s.absentUntil)
 }
 
 // Fleet is the table of targets of one instance.
 type Fleet struct {
+	// DrainBound is how long after a response in which a target says that it leaves a request may be sent to it at most.
+	DrainBound time.Duration
+
 	targets          *table.Table[entity.TargetID, State]
 	lastStoreFailure time.Time
 	// loadsSharedAt is when the other instances last shared their load; zoneInstances is the number of instances in the
@@ -119,11 +129,16 @@
 	// restored from a copy, at restoredAt.
 	departed, departedBefore departures
 	restoredAt               time.Time
+	// leaving holds the processes that have said in a response that they leave.
+	leaving map[process]*leavingProcess
 }
 
 // New returns an empty fleet.
 func New() *Fleet {
-	return &Fleet{targets: table.New[entity.TargetID, State](), departed: make(departures)}
+	return &Fleet{
+		targets: table.New[entity.TargetID, State](), departed: make(departures),
+		leaving: make(map[process]*leavingProcess),
+	}
 }
 
 // Get returns the state of a target, or nil if it is unknown.
@@ -138,7 +153,9 @@
 func (f *Fleet) Put(target Target) bool {
 	state := f.targets.Get(target.ID)
 	if state == nil {
-		f.targets.Put(target.ID, &State{Target: target, absentUntil: f.absentUntil(target)})
+		f.targets.Put(target.ID, &State{
+			Target: target, absentUntil: f.absentUntil(target), leavingSince: f.leavingSince(target),
+		})
 		return true
 	}
 	state.removeAt = time.Time{}
@@ -149,7 +166,7 @@
 	if restarted || target.Revision > state.Revision {
 		state.absentUntil = time.Time{}
 	}
-	state.Target, state.beforeRestore = target, false
+	state.Target, state.beforeRestore, state.leavingSince = target, false, f.leavingSince(target)
 	if restarted {
 		state.consecutiveFailures, state.suspectUntil, state.limit, state.reachability =
 			0, time.Time{}, concurrencyLimit{}, reachability{}
@@ -198,6 +215,7 @@
 	}
 	f.departed.prune(now)
 	f.departedBefore.prune(now)
+	f.pruneLeaving(now)
 }
 
 // RecordFailure records that a target failed to serve a call and returns the time until which it is suspected.
