Use leaving engines for generations as a last resort

Cause: a generation whose layers are held only by engines that leave by their own responses was refused at once, although these still take it for a while.

Reroutes do not use them.

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -80,12 +80,17 @@
 
 // ChoosePath returns the cheapest path for a generation and counts it as in progress until Release. It returns nil if
 // no engines with enough free KV cache cover all layers: an engine would reject such a generation or evict another one.
-// Engines in avoid are excluded.
+// Engines in avoid are excluded. Engines that leave by their own response are only used as a last resort.
 func (d *Dispatcher) ChoosePath(now time.Time, service *routing.Service, size GenerationSize,
 	avoid map[entity.TargetID]bool) *Path {
-	d.collectNodes(now, service, size, avoid)
 	layers := entity.LayerRange{To: service.Engine.Layers}
-	stages := d.chooseStages(layers, d.nodes, d.transferCosts(service.Engine, size))
+	costs := d.transferCosts(service.Engine, size)
+	leaving := d.collectNodes(now, service, size, avoid, false)
+	stages := d.chooseStages(layers, d.nodes, costs)
+	if stages == nil && leaving > 0 {
+		d.collectNodes(now, service, size, avoid, true)
+		stages = d.chooseStages(layers, d.nodes, costs)
+	}
 	if stages == nil {
 		return nil
 	}
@@ -161,16 +166,25 @@
 	return size.Prompt * engine.ActivationBytes / engine.InterZoneBandwidth
 }
 
-// collectNodes fills the buffers with the engines that a generation may use and their costs.
+// collectNodes fills the buffers with the engines that a generation may use and their costs. It includes those that are
+// a last resort only if lastResort is true, and returns the number of these.
 func (d *Dispatcher) collectNodes(now time.Time, service *routing.Service, size GenerationSize,
-	avoid map[entity.TargetID]bool) {
+	avoid map[entity.TargetID]bool, lastResort bool) (leaving int) {
 	d.states, d.nodes = d.states[:0], d.nodes[:0]
 	for id, state := range d.Fleet.All {
 		card, known := service.Engine.Cards[state.Card]
-		if state.Service != service.ID || !known || state.Layers.Len() == 0 || avoid[id] || !state.InService(now) ||
-			state.Down(now) {
+		if state.Service != service.ID || !known || state.Layers.Len() == 0 || avoid[id] || state.Down(now) {
 			continue
 		}
+		if !state.InService(now) {
+			if !d.Fleet.LastResort(now, state) {
+				continue
+			}
+			leaving++
+			if !lastResort {
+				continue
+			}
+		}
 		node := layerpath.Node{Index: len(d.states), Layers: state.Layers, Zone: state.Zone}
 		sequences, cache := d.Fleet.Load(now, state)
 		node.CostPerLayer = layerCost(service.Engine, card, size, sequences)
@@ -189,6 +203,7 @@
 		d.states = append(d.states, state)
 		d.nodes = append(d.nodes, node)
 	}
+	return leaving
 }
 
 // layerCost returns the expected time per layer, in seconds, of a request on an engine with the given number of
--- a/core/dispatch/reroute.go
+++ b/core/dispatch/reroute.go
@@ -67,7 +67,7 @@
 // request that has already stalled once.
 func (d *Dispatcher) replacementStages(now time.Time, service *routing.Service, size GenerationSize,
 	gap entity.LayerRange, zones []entity.ZoneID, crossZone bool, excluded map[entity.TargetID]bool) []Stage {
-	d.collectNodes(now, service, size, excluded)
+	d.collectNodes(now, service, size, excluded, false)
 	kept := 0
 	for _, node := range d.nodes {
 		from, to := max(node.Layers.From, gap.From), min(node.Layers.To, gap.To)
