--- a/core/fleet/leaving_test.go
+++ b/core/fleet/leaving_test.go
@@ -134,3 +134,44 @@
 		t.Errorf("%d processes are remembered", len(f.leaving))
 	}
 }
+
+// TestOtherAt guards against a response that is blamed on the wrong one of several targets listed under an address.
+func TestOtherAt(t *testing.T) {
+	f := New()
+	f.Put(Target{ID: "t1", Address: "10.0.0.1:80", Born: 1})
+	f.Put(Target{ID: "t2", Address: "10.0.0.2:80", Born: 1})
+	if other, found := f.OtherAt("10.0.0.1:80", "t1"); found {
+		t.Errorf("found %s", other.ID)
+	}
+	f.Put(Target{ID: "t3", Address: "10.0.0.1:80", Born: 2})
+	if other, found := f.OtherAt("10.0.0.1:80", "t1"); !found || other.ID != "t3" {
+		t.Errorf("found %v %s", found, other.ID)
+	}
+	f.Put(Target{ID: "t4", Address: "10.0.0.1:80", Born: 3})
+	if other, found := f.OtherAt("10.0.0.1:80", "t1"); found {
+		t.Errorf("found %s although there are two", other.ID)
+	}
+}
+
+// TestReplaced guards against connections that are used further although they may lead to an earlier process.
+func TestReplaced(t *testing.T) {
+	f := New()
+	target := plainTarget("t1", "a")
+	if !f.Replaced(target) {
+		t.Error("a target that is not in the table is not replaced")
+	}
+	f.Put(target)
+	if f.Replaced(target) {
+		t.Error("a listed target is replaced")
+	}
+	f.RecordLeaving(start, "t1", 1)
+	if !f.Replaced(target) {
+		t.Error("a leaving target is not replaced")
+	}
+	successor := target
+	successor.Born = 2
+	f.Put(successor)
+	if !f.Replaced(target) || f.Replaced(successor) {
+		t.Error("the successor is taken for the process that it has replaced")
+	}
+}
