Send no requests to targets that say in a response that they leave

Cause: a target that leaves says so in all its responses, but got requests until the list said it too, which some targets never write.

Change: the gateway reads the header in each response, also in late ones that it discards, and the edge daemon in those to report requests and orders. The target is then out of service (core/fleet); what it runs goes on. Line `target leaves by its own response`, gauge hyssophoist_edge_leaving_targets. It is not passed on to other instances, since loads are keyed by id and a successor could be blamed.

Measured: the tests of leaving_test.go pass, with -race too. With the header ignored by the gateway TestLeavingPlainTargetGetsNoRequests, TestLeavingEngineGetsNoStreams and TestSuccessorOfLeavingTargetIsUsed fail; without the callback for reports TestEngineLeavesByItsReport; with no last resort, or one of five times the bound, TestLeavingTargetsAreLastResort.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -125,7 +125,7 @@
 }
 
 func newDaemon(lifecycle fx.Lifecycle, s *settings.Edge, g *gateway.Gateway, pool *connpool.Pool, store *platform.Store,
-	t *tables, p *placer.Placer, sharer *loadshare.Sharer, m *Metrics) *Daemon {
+	t *tables, p *placer.Placer, sharer *loadshare.Sharer, engines *platform.EngineClient, m *Metrics) *Daemon {
 	m.registerTables(t)
 	m.registerStore(store)
 	store.OnRestore = func(before, era uint64) {
@@ -133,7 +133,9 @@
 		t.observeEra(era)
 	}
 	m.registerGateway(g)
+	m.registerLeaving(g)
 	g.OnCrash(sharer.Announce)
+	followLeaving(s, g, engines)
 	d := &Daemon{
 		settings: s, gateway: g, pool: pool, store: store, tables: t, placer: p, sharer: sharer, metrics: m,
 	}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"time"
 
+	"github.com/hyssophoist/hyssophoist/core/fleet"
 	"github.com/hyssophoist/hyssophoist/internal/connpool"
 )
 
@@ -31,6 +32,7 @@
 // exchange is one request and its response on one connection.
 type exchange struct {
 	gateway  *Gateway
+	target   fleet.Target
 	conn     *connpool.Conn
 	response *http.Response
 	head     ResponseHead
@@ -46,7 +48,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", errNotSent, err)
 	}
-	x := &exchange{gateway: g, conn: conn}
+	x := &exchange{gateway: g, target: attempt.Target, conn: conn}
 	x.stopCloseOnCancel = context.AfterFunc(ctx, func() { conn.Close() })
 	request := g.options.Codec.EncodeAttempt(attempt)
 	if len(attempt.Call.Body) > 0 {
@@ -105,6 +107,7 @@
 			continue
 		}
 		head := x.gateway.options.Codec.DecodeResponseHead(response)
+		x.recordIfLeaving(head, id)
 		if head.RequestID == "" || head.RequestID == id {
 			x.response, x.head = response, head
 			return nil
