Use no connection of an earlier process for its successor

Cause: a leaving process that still answers on its connections was reached by requests to the process that had taken its id and address. Its responses then made the successor a leaving target for good.

Change: idle connections are closed when another process is listed under an id, and a connection is not kept after a response if its target has been replaced, has gone or leaves.

Measured: TestSuccessorIsNotBlamedOnOldConnection passes. Before, its two cases of the same id fail: the successor never serves.

--- a/internal/edge/leaving_test.go
+++ b/internal/edge/leaving_test.go
@@ -14,6 +14,7 @@
 	"github.com/hyssophoist/hyssophoist/core/fleet"
 	"github.com/hyssophoist/hyssophoist/internal/boottime"
 	"github.com/hyssophoist/hyssophoist/internal/emulator/edgeplatform"
+	"github.com/hyssophoist/hyssophoist/internal/faultproxy"
 )
 
 // leavingBound is the drain bound in the settings of the daemons of tests.
@@ -157,6 +158,86 @@
 	}
 }
 
+// TestSuccessorIsNotBlamedOnOldConnection guards against a new process that is taken for a leaving one because a request
+// to it was sent on a connection to the process that had its address before, which still answers there.
+func TestSuccessorIsNotBlamedOnOldConnection(t *testing.T) {
+	t.Parallel()
+	for _, test := range []struct {
+		name   string
+		sameID bool
+		// inProgress makes the old process serve a request while the successor becomes known.
+		inProgress bool
+	}{
+		{"same id", true, false},
+		{"other id", false, false},
+		{"same id, request in progress", true, true},
+		{"other id, request in progress", false, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			d := newDeployment(t)
+			old, other := d.plain[0], d.plain[1]
+			address, err := faultproxy.New(faultproxy.Options{Target: old.Address()})
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(address.Close)
+			old.Advertise(address.Address())
+			d.register(old, "ready")
+			d.store.Remove("servers", other.ID)
+			if test.inProgress {
+				old.Latency = time.Second
+			}
+			daemon := d.addDaemon("a")
+			first := make(chan result, 1)
+			go func() { first <- d.lookUp(daemon, "first") }()
+			d.waitUntil("the old process serves", func() bool { return len(old.Runs()) > 0 })
+			if !test.inProgress {
+				if got := <-first; got.status != http.StatusOK {
+					t.Fatalf("lookup: %+v", got)
+				}
+			}
+			id := "plain-9"
+			if test.sameID {
+				id = old.ID
+			}
+			successor := edgeplatform.NewTarget(id, "ledger", "a", "", 0)
+			t.Cleanup(successor.Close)
+			address.SetTarget(successor.Address())
+			setLeaving(true, old)
+			successor.Advertise(address.Address())
+			successor.Restart() // counts another start than that of the old process
+			if !test.sameID {
+				d.store.Remove("servers", old.ID)
+			}
+			d.register(successor, "ready")
+			const successorBorn = 2
+			d.waitUntil("the successor is known", func() bool { return daemon.target(id).Born == successorBorn })
+			if test.inProgress {
+				if got := <-first; got.status != http.StatusOK {
+					t.Fatalf("lookup in progress: %+v", got)
+				}
+			}
+			before := len(old.Runs())
+			d.waitUntil("the successor serves", func() bool {
+				d.lookUp(daemon, fmt.Sprint("next", time.Now().UnixNano()))
+				return len(successor.Runs()) > 0
+			})
+			for n := range 20 {
+				if got := d.lookUp(daemon, fmt.Sprint("last", n)); got.status != http.StatusOK {
+					t.Fatalf("lookup: %+v", got)
+				}
+			}
+			if after := len(old.Runs()); after != before {
+				t.Errorf("%d requests ran on the process that was replaced", after-before)
+			}
+			if daemon.leavesByResponse(id) {
+				t.Error("the successor is taken for one that leaves")
+			}
+		})
+	}
+}
+
 // TestLeavingTargetsAreLastResort guards against callers that are refused at once when all targets of a service leave,
 // and against requests to these when half of the drain bound has passed.
 func TestLeavingTargetsAreLastResort(t *testing.T) {
--- a/internal/edge/observers.go
+++ b/internal/edge/observers.go
@@ -115,7 +115,7 @@
 	if previous.Revision = target.Revision; previous == target {
 		return
 	}
-	if previous.Address != "" && previous.Address != target.Address {
+	if previous.Address != "" && (previous.Address != target.Address || previous.Born != target.Born) {
 		o.pool.CloseIdle(previous.Address)
 	}
 	if previous.Born == target.Born && previous.Layers.Len() > 0 && previous.Layers != target.Layers {
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -149,7 +149,8 @@
 
 // releaseConn returns the connection to the pool after a complete response, or closes it if it cannot be reused.
 func (x *exchange) releaseConn() {
-	if !x.stopCloseOnCancel() || x.response.Close || x.response.ContentLength < 0 && len(x.response.TransferEncoding) == 0 {
+	if !x.stopCloseOnCancel() || x.response.Close || x.response.ContentLength < 0 && len(x.response.TransferEncoding) == 0 ||
+		x.targetReplaced() {
 		x.conn.Close()
 		return
 	}
--- a/internal/gateway/leaving.go
+++ b/internal/gateway/leaving.go
@@ -47,3 +47,11 @@
 		x.gateway.recordLeaving(writer, requestID)
 	}
 }
+
+// targetReplaced reports whether the connection may lead to a process that has been replaced or leaves, so that it must
+// not carry another request.
+func (x *exchange) targetReplaced() bool {
+	x.gateway.mu.Lock()
+	defer x.gateway.mu.Unlock()
+	return x.gateway.dispatcher.Fleet.Replaced(x.target)
+}
