Keep the time without requests that a target asked for

Cause: a target that turns requests away with 503 may say for how long it wants none. Nothing kept that time, so that attempts, report requests and orders went on.

In that time the target is not chosen for plain calls, begins no paths (its first layer is left out, so that it may be a later stage) and is in no list of probes. After it the target gets one attempt at a time, which a reroute does not end, until it has responded to an attempt sent after that time.

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -39,6 +39,9 @@
 	Zone  entity.ZoneID
 	Fleet *fleet.Fleet
 
+	// SavedAttempts counts the attempts that were not sent to a target because it asked for time.
+	SavedAttempts uint64
+
 	chooser layerpath.Chooser
 	// states and nodes are buffers filled by collectNodes.
 	states []*fleet.State
@@ -80,17 +83,19 @@
 
 // ChoosePath returns the cheapest path for a generation and counts it as in progress until Release. It returns nil if
 // no engines with enough free KV cache cover all layers: an engine would reject such a generation or evict another one.
-// Engines in avoid are excluded.
+// Engines in avoid are excluded, and those that asked for time from being the first one.
 func (d *Dispatcher) ChoosePath(now time.Time, service *routing.Service, size GenerationSize,
 	avoid map[entity.TargetID]bool) *Path {
 	d.collectNodes(now, service, size, avoid)
 	layers := entity.LayerRange{To: service.Engine.Layers}
+	leftOut := d.leaveOutBackedOff(now)
 	stages := d.chooseStages(layers, d.nodes, d.transferCosts(service.Engine, size))
 	if stages == nil {
 		return nil
 	}
 	path := &Path{Stages: stages, size: size}
 	d.reserve(path)
+	d.beginAttempt(&path.Stages[0].Target, leftOut)
 	return path
 }
 
@@ -143,6 +148,7 @@
 
 // Release ends the reservation of a path.
 func (d *Dispatcher) Release(path *Path) {
+	d.Fleet.EndAttempt(&path.Stages[0].Target)
 	for _, stage := range path.Stages {
 		state := d.Fleet.Get(stage.Target.ID)
 		if state == nil || state.Born != stage.Target.Born {
@@ -203,17 +209,19 @@
 // ChooseTarget returns the target for a call that is not a generation and counts it as in progress until ReleaseTarget.
 // It returns nil if there is none. Targets in tried are excluded.
 func (d *Dispatcher) ChooseTarget(now time.Time, service entity.ServiceID, tried map[entity.TargetID]bool) *fleet.Target {
-	state := d.Fleet.ChoosePlain(now, service, d.Zone, tried)
+	state, backedOff := d.Fleet.ChoosePlain(now, service, d.Zone, tried)
 	if state == nil {
 		return nil
 	}
 	state.InProgress++
 	target := state.Target
+	d.beginAttempt(&target, backedOff)
 	return &target
 }
 
 // ReleaseTarget ends a call on a target chosen by ChooseTarget. duration is 0 if the target did not serve the call.
 func (d *Dispatcher) ReleaseTarget(target *fleet.Target, duration time.Duration) {
+	d.Fleet.EndAttempt(target)
 	state := d.Fleet.Get(target.ID)
 	if state == nil || state.Born != target.Born {
 		return
--- a/core/fleet/choose.go
+++ b/core/fleet/choose.go
@@ -19,22 +19,25 @@
 )
 
 // ChoosePlain returns the target with the lowest expected latency for a plain service, whose calls are each served by a
-// single target, or nil if there is none. Targets in tried are skipped; a target that is suspected or down is chosen
-// only if there is no other.
+// single target, or nil if there is none. Targets in tried and those that asked for time are skipped; a target that is suspected or down is chosen
+// only if there is no other. backedOff reports whether there are some that asked for time.
 func (f *Fleet) ChoosePlain(now time.Time, service entity.ServiceID, zone entity.ZoneID,
-	tried map[entity.TargetID]bool) *State {
-	var best *State
+	tried map[entity.TargetID]bool) (best *State, backedOff bool) {
 	bestCost := 0.0
 	for id, state := range f.targets.All {
 		if state.Service != service || tried[id] || !state.InService(now) {
 			continue
 		}
+		if !state.AcceptsAttempt(now) {
+			backedOff = true
+			continue
+		}
 		cost := plainCost(now, state, zone)
 		if best == nil || cost < bestCost {
 			best, bestCost = state, cost
 		}
 	}
-	return best
+	return best, backedOff
 }
 
 // plainCost returns the expected latency of a call at a target, in seconds, with the penalties added.
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -86,6 +86,7 @@
 	suspectUntil        time.Time
 	limit               concurrencyLimit
 	reachability        reachability
+	backoff             backoff
 	// removeAt is when a target that left the list during a store outage is dropped; zero for listed targets.
 	removeAt time.Time
 	// beforeRestore reports whether the entry was read before the store was restored from a copy, which may have an
@@ -138,7 +139,7 @@
 func (f *Fleet) Put(target Target) bool {
 	state := f.targets.Get(target.ID)
 	if state == nil {
-		f.targets.Put(target.ID, &State{Target: target, absentUntil: f.absentUntil(target)})
+		f.targets.Put(target.ID, &State{Target: target, absentUntil: f.absentUntil(target), backoff: f.departedBackoff(target)})
 		return true
 	}
 	state.removeAt = time.Time{}
@@ -153,6 +154,7 @@
 	if restarted {
 		state.consecutiveFailures, state.suspectUntil, state.limit, state.reachability =
 			0, time.Time{}, concurrencyLimit{}, reachability{}
+		state.backoff = backoff{}
 	}
 	return true
 }
@@ -274,10 +276,11 @@
 	return wasSlow != (report.Slowdown >= slowThreshold)
 }
 
-// SlowTargets returns the engines that reported to this instance that they are slow.
+// SlowTargets returns the engines that reported to this instance that they are slow, without those that asked to get no
+// requests.
 func (f *Fleet) SlowTargets(now time.Time) (slow []Target) {
 	for _, state := range f.targets.All {
-		if state.ownSlowdown(now) >= slowThreshold {
+		if state.ownSlowdown(now) >= slowThreshold && !state.BacksOff(now) {
 			slow = append(slow, state.Target)
 		}
 	}
--- a/core/fleet/fleet_test.go
+++ b/core/fleet/fleet_test.go
@@ -88,7 +88,7 @@
 		for _, id := range tried {
 			excluded[id] = true
 		}
-		if state := f.ChoosePlain(start, "s", "a", excluded); state != nil {
+		if state, _ := f.ChoosePlain(start, "s", "a", excluded); state != nil {
 			return state.ID
 		}
 		return ""
--- a/core/fleet/reach.go
+++ b/core/fleet/reach.go
@@ -57,10 +57,10 @@
 // DueProbes returns the engines to query now. An engine that is down is queried after the interval, and at once if
 // another instance got an answer from it: one instance that queries often is enough. An instance that queries for its
 // zone also queries the engines that left others without an answer, since it decides whether their layers are placed
-// elsewhere.
+// elsewhere. Engines that asked to get no requests are left out.
 func (f *Fleet) DueProbes(now time.Time, policy ProbePolicy) (due []Target) {
 	for _, state := range f.targets.All {
-		if state.Card == "" {
+		if state.Card == "" || state.BacksOff(now) {
 			continue
 		}
 		down := state.Down(now)
--- a/core/fleet/restore.go
+++ b/core/fleet/restore.go
@@ -19,6 +19,8 @@
 type departure struct {
 	born, revision int64
 	at             time.Time
+	// backoff is kept for the case that only the entry of the process expired.
+	backoff backoff
 }
 
 type departures map[entity.TargetID]departure
@@ -54,7 +56,7 @@
 
 // drop removes a target from the table.
 func (f *Fleet) drop(now time.Time, state *State) {
-	f.departed[state.ID] = departure{born: state.Born, revision: state.Revision, at: now}
+	f.departed[state.ID] = departure{born: state.Born, revision: state.Revision, at: now, backoff: state.backoff}
 	f.targets.Delete(state.ID)
 }
 
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -83,7 +83,7 @@
 	q.gateway.mu.Lock()
 	defer q.gateway.mu.Unlock()
 	now := boottime.Now()
-	next := q.gateway.dispatcher.Fleet.ChoosePlain(now, q.service.ID, q.gateway.options.Zone, tried)
+	next, _ := q.gateway.dispatcher.Fleet.ChoosePlain(now, q.service.ID, q.gateway.options.Zone, tried)
 	return next != nil && next.Usable(now)
 }
 
