--- a/internal/gateway/types.go
+++ b/internal/gateway/types.go
@@ -70,6 +70,10 @@
 	ContentEncoded bool
 	// KeepAlive is how long the target keeps an idle connection open; 0 if it does not say.
 	KeepAlive time.Duration
+	// RetryAfter is how long a target that responds with 503 asks to get no requests; 0 if it does not ask.
+	// RetryAfterMalformed reports whether it asks in a form that is not understood.
+	RetryAfter          time.Duration
+	RetryAfterMalformed bool
 }
 
 // Codec translates between HTTP messages and the types of this package.
