Let targets of the stand-in ask for time

Cause: no stand-in refused requests with Retry-After.

Change: TargetFaults.RefuseFor makes a target refuse all requests with 503, X-Not-Executed and Retry-After. Requests for reports and orders are refused too and count as arrivals.

--- a/internal/emulator/edgeplatform/target.go
+++ b/internal/emulator/edgeplatform/target.go
@@ -44,6 +44,8 @@
 	RefusePathsVia string
 	// Refuse makes the target refuse all requests. The header X-Not-Executed marks the refusal.
 	Refuse bool
+	// RefuseFor makes the target refuse all requests, as Refuse does, and ask for this time without any.
+	RefuseFor time.Duration
 	// LoseResponses makes the target run requests and close the connection without a response.
 	LoseResponses bool
 	// Truncate makes responses of plain services end in the middle of the body.
@@ -126,7 +128,7 @@
 	mux.HandleFunc("GET /api/report", t.report)
 	mux.HandleFunc("POST /api/order", t.order)
 	mux.HandleFunc("/", t.serve)
-	t.server = httptest.NewServer(t.abortWhileDown(mux))
+	t.server = httptest.NewServer(t.abortWhileDown(t.refuseForTime(mux)))
 	t.advertised = t.server.Listener.Addr().String()
 	return t
 }
