Give no orders to an engine in the time that it asked for

Cause: the placer read reports of engines that asked for time and sent them orders.

Change: such an engine counts as fixed in the plan, is checked again before the report that precedes an order, and a refused report or order is recorded in the fleet.

Result: TestNoOrdersInBackoff passes; with both checks switched off it fails with an order and a report request.

--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -272,7 +272,7 @@
 func (p *Placer) holder(now time.Time, state *fleet.State, lost bool) placement.Holder {
 	holder := placement.Holder{
 		ID: state.ID, Zone: state.Zone, Card: state.Card, Held: state.Layers,
-		Fixed: state.Changing || !state.Usable(now),
+		Fixed: state.Changing || !state.Usable(now) || state.BacksOff(now),
 		Lost:  lost, New: p.isNew(now, state),
 	}
 	p.mu.Lock()
@@ -384,9 +384,14 @@
 	p.lease.OrderEnded()
 }
 
-// sendOrder reads the engine's report and sends the order unless the report contradicts the engine's entry.
+// sendOrder reads the engine's report and sends the order unless the report contradicts the engine's entry. An engine that
+// asked to get no requests gets neither.
 func (p *Placer) sendOrder(ctx context.Context, order placement.Order, target fleet.Target, fencing uint64) {
+	if p.backsOff(target.ID) {
+		return
+	}
 	report, err := p.options.Engines.Report(ctx, target)
+	p.recordBackoff(target, err)
 	if err != nil {
 		p.recordPending(target, pendingOrder{layers: order.Layers, failed: true, expiresAt: boottime.Now().Add(failureDelay)})
 		log.Event("no report before an order", "target", target.ID, "error", err.Error())
@@ -405,6 +410,7 @@
 		return
 	}
 	outcome, err := p.options.Engines.Place(ctx, target, order.Layers, fencing, report.Orders)
+	p.recordBackoff(target, err)
 	result := pendingOrder{layers: order.Layers,
 		expiresAt: boottime.Now().Add(p.confirmTimeout(target, order.Layers, outcome == Begun))}
 	reason := ""
--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -31,6 +31,8 @@
 	lateReports int
 	// received lists the orders that engines received, also those refused or not answered.
 	received []string
+	// reports counts the reports that each engine was asked for.
+	reports map[entity.TargetID]int
 }
 
 type fakeEngine struct {
@@ -47,7 +49,7 @@
 }
 
 func newFakeCluster(engines int) *fakeCluster {
-	c := &fakeCluster{engines: make(map[entity.TargetID]*fakeEngine)}
+	c := &fakeCluster{engines: make(map[entity.TargetID]*fakeEngine), reports: make(map[entity.TargetID]int)}
 	for i := range engines {
 		id := entity.TargetID(fmt.Sprintf("e%d", i))
 		c.engines[id] = &fakeEngine{
@@ -99,6 +101,7 @@
 func (c *fakeCluster) Report(ctx context.Context, target fleet.Target) (fleet.Report, error) {
 	c.delay(ctx)
 	c.mu.Lock()
+	c.reports[target.ID]++
 	if err := ctx.Err(); err != nil {
 		c.lateReports++
 		c.mu.Unlock()
@@ -225,6 +228,23 @@
 	}
 }
 
+// TestNoOrdersInBackoff guards against orders and report requests to engines that asked to get no requests.
+func TestNoOrdersInBackoff(t *testing.T) {
+	t.Parallel()
+	c := newFakeCluster(4)
+	v := newView()
+	v.refresh(c)
+	backedOff := fleet.Target{ID: "e0", Born: 1}
+	p := newPlacer(c, v, "d0", 0)
+	p.recordBackoff(backedOff, &fleet.BackoffError{For: time.Minute})
+	runUntil(t, c, []*view{v}, []*Placer{p}, 4*time.Second, func() bool { return len(c.received) == len(c.engines) })
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.received) != len(c.engines)-1 || c.reports["e0"] != 0 {
+		t.Errorf("got orders %v and %d report requests", c.received, c.reports["e0"])
+	}
+}
+
 // TestNoOrdersWithoutTheStore guards against orders from an instance that cannot acquire the lease.
 func TestNoOrdersWithoutTheStore(t *testing.T) {
 	t.Parallel()
