--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -86,6 +86,7 @@
 	suspectUntil        time.Time
 	limit               concurrencyLimit
 	reachability        reachability
+	backoff             backoff
 	// removeAt is when a target that left the list during a store outage is dropped; zero for listed targets.
 	removeAt time.Time
 	// beforeRestore reports whether the entry was read before the store was restored from a copy, which may have an
@@ -155,6 +156,7 @@
 	if state == nil {
 		f.targets.Put(target.ID, &State{
 			Target: target, absentUntil: f.absentUntil(target), leavingSince: f.leavingSince(target),
+			backoff: f.departedBackoff(target),
 		})
 		return true
 	}
@@ -170,6 +172,7 @@
 	if restarted {
 		state.consecutiveFailures, state.suspectUntil, state.limit, state.reachability =
 			0, time.Time{}, concurrencyLimit{}, reachability{}
+		state.backoff = backoff{}
 	}
 	return true
 }
@@ -292,10 +295,11 @@
 	return wasSlow != (report.Slowdown >= slowThreshold)
 }
 
-// SlowTargets returns the engines that reported to this instance that they are slow.
+// SlowTargets returns the engines that reported to this instance that they are slow, without those that asked to get no
+// requests.
 func (f *Fleet) SlowTargets(now time.Time) (slow []Target) {
 	for _, state := range f.targets.All {
-		if state.ownSlowdown(now) >= slowThreshold {
+		if state.ownSlowdown(now) >= slowThreshold && !state.BacksOff(now) {
 			slow = append(slow, state.Target)
 		}
 	}
--- a/core/fleet/leaving_test.go
+++ b/core/fleet/leaving_test.go
@@ -85,7 +85,7 @@
 // in time, and against requests to it while there is another or when the time has passed.
 func TestLeavingTargetsAsLastResort(t *testing.T) {
 	chosen := func(f *Fleet, after time.Duration) entity.TargetID {
-		if state := f.ChoosePlain(start.Add(after), "s", "a", nil); state != nil {
+		if state, _ := f.ChoosePlain(start.Add(after), "s", "a", nil); state != nil {
 			return state.ID
 		}
 		return ""
