Do not count a request that may have arrived too late in TestLeavingTargetsAreLastResort

Cause: the test sends until 0.2 s before half of the drain bound, and expects each request to be served; beside load one could arrive after it.

Change: a request that ends after half of the bound may be refused. All others are checked as before.

--- a/internal/edge/leaving_test.go
+++ b/internal/edge/leaving_test.go
@@ -262,6 +262,9 @@
 			served := 0
 			for time.Since(known) < leavingBound/2-200*time.Millisecond {
 				got := test.send(d, daemon, fmt.Sprint("soon", served))
+				if got.status != http.StatusOK && time.Since(known) >= leavingBound/2 {
+					break // the request may have arrived too late
+				}
 				if got.status != http.StatusOK {
 					t.Fatalf("as a last resort: %+v", got)
 				}
