--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -58,6 +58,8 @@
 	{"daemons stopped in series", (*faultInjector).daemonsStoppedInSeries},
 	{"store restored", (*faultInjector).storeRestored},
 	{"target leaves", (*faultInjector).targetLeaves},
+	{"target asks for time", (*faultInjector).targetAsksForTime},
+	{"target leaves by response", (*faultInjector).targetLeavesByResponse},
 }
 
 // step starts a random fault and returns at once.
