--- a/core/fleet/backoff.go
+++ b/core/fleet/backoff.go
@@ -36,7 +36,8 @@
 // RecordBackoff records that the process of a target that was started at born refused a request at time now and asked
 // to get none for the given time, of which at most MaxBackoff counts. It returns the time until which the target gets
 // none, and whether that is news.
-func (f *Fleet) RecordBackoff(now time.Time, id entity.TargetID, born int64, d time.Duration) (until time.Time, changed bool) {
+func (f *Fleet) RecordBackoff(now time.Time, id entity.TargetID, born int64,
+	d time.Duration) (until time.Time, changed bool) {
 	asked := now.Add(min(d, MaxBackoff))
 	state := f.targets.Get(id)
 	if state == nil {
@@ -72,8 +73,8 @@
 	return backoff{}
 }
 
-// RecordResponse records a response to an attempt by which the target did not ask for time. It reports whether it ends the
-// recovery of the target, which an attempt that was sent before the end of the time does not.
+// RecordResponse records a response to an attempt by which the target did not ask for time. It reports whether it ends
+// the recovery of the target, which an attempt that was sent before the end of the time does not.
 func (f *Fleet) RecordResponse(id entity.TargetID, born int64, sentAt time.Time) (recovered bool) {
 	state := f.targets.Get(id)
 	if state == nil || state.Born != born || !state.backoff.recovering || sentAt.Before(state.backoff.until) {
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -148,8 +148,8 @@
 // All iterates over all targets in the order in which they were added.
 func (f *Fleet) All(yield func(entity.TargetID, *State) bool) { f.targets.All(yield) }
 
-// Put adds or updates a target and reports true. It reports false if it keeps the entry that it has, because the given one
-// comes from the copy that the store was restored from and is older. The recorded failures and limits of a restarted
+// Put adds or updates a target and reports true. It reports false if it keeps the entry that it has, because the given
+// one comes from the copy that the store was restored from and is older. The recorded failures and limits of a restarted
 // target are reset.
 func (f *Fleet) Put(target Target) bool {
 	state := f.targets.Get(target.ID)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -159,8 +159,8 @@
 	}
 }
 
-// StartDraining makes the gateway ask callers to close their connections after each response that it begins, and refuse requests that
-// the stopping instance may be unable to finish.
+// StartDraining makes the gateway ask callers to close their connections after each response that it begins, and refuse
+// requests that the stopping instance may be unable to finish.
 func (g *Gateway) StartDraining(stop drain.Stop) { g.stop.Store(&stop) }
 
 // CancelRequests cancels all requests in progress, as if their time had passed.
--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -117,7 +117,8 @@
 	return &Sharer{
 		options: options, table: loadshare.New(options.Self),
 		client: peer.NewClient(peer.ClientOptions{CallTimeout: callTimeout}), announce: make(chan struct{}, 1),
-		changed: make(chan struct{}, 1), restored: make(chan struct{}, 1), memberStates: make(map[entity.DaemonID]TableStates),
+		changed: make(chan struct{}, 1), restored: make(chan struct{}, 1),
+		memberStates: make(map[entity.DaemonID]TableStates),
 	}
 }
 
