Show that streams get no answer when their time-out ends them

The write deadline of a stream's connection is the deadline of the request, so that the 504 at that deadline cannot be written, and the connection is closed without an answer.

--- a/review/testdata/standin/main.go
+++ b/review/testdata/standin/main.go
@@ -22,9 +22,10 @@
 }
 
 var cases = map[string]func(*run) (broken bool, err error){
-	"memory": runMemory,
-	"feed":   runFeed,
-	"idle":   runIdle,
+	"memory":  runMemory,
+	"feed":    runFeed,
+	"idle":    runIdle,
+	"timeout": runTimeout,
 }
 
 func main() {
