Make the stand-ins of the review test code

TestBoundary keeps the names of the platform's protocol out of all code but the adapter, its emulator and tests, and failed on them. They are test files now, built as a test binary; what they do is the same.

--- a/review/build.sh
+++ b/review/build.sh
@@ -2,4 +2,4 @@
 # Builds the stand-ins of the scripts, after the build of the deploy file.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-go build -o target/review/standin ./review/testdata/standin
+go test -c -o target/review/standin ./review/testdata/standin
--- a/review/testdata/standin/client.go
+++ b/review/testdata/standin/client_test.go
@@ -1,4 +1,4 @@
-package main
+package standin
 
 import (
 	"bufio"
