Drop removed targets in time although another instance cannot read the store

While one instance of a zone was cut off from the store, another one, which reached it, sent requests to targets for up to 2.26 s after the store had confirmed that they are gone; the bound is 2 s.

Cause: fleet.Remove kept a target for 2 s after the removal was learned if any instance had a failed read in the 2 s before, since its entry may have lapsed in an outage. The time counted from learning instead of from the store's return, failed reads of others counted against what the instance had read itself, and nothing knew when the list had last had the entry.

Change: core/tablecache knows outages by the gaps between the store's confirmations, which batches pass on (StableFor, AfterOutage), and says with each change when the list was last confirmed with its old content. core/fleet keeps a target until 2 s after the return from an outage, and after mere failed reads no longer than 0.9 of the bound after the last list with the entry. Related paths: an instance's own failed read, outages learned from others, restored stores (return instead of learning), outages that no failed read has shown. Observer.OutageReported and Fleet.RecordStoreFailure are gone.

--- a/core/fleet/backoff_test.go
+++ b/core/fleet/backoff_test.go
@@ -98,7 +98,7 @@
 		if !test.askedAfter {
 			f.RecordBackoff(start, "t1", 1, time.Second)
 		}
-		f.Remove(start, "t1")
+		f.Remove(start, "t1", Removal{})
 		if test.askedAfter {
 			f.RecordBackoff(start, "t1", 1, time.Second)
 		}
@@ -294,7 +294,7 @@
 		p.fleet.RecordFailure(p.now, id)
 	case 4: // the entry expires
 		p.expired[id] = state.Target
-		p.fleet.Remove(p.now, id)
+		p.fleet.Remove(p.now, id, Removal{})
 	default:
 		p.overloaded[id] = !p.overloaded[id]
 	}
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -14,11 +14,12 @@
 )
 
 const (
-	// removalGracePeriod is how long a target that was removed from the list during a store outage is still used.
-	// Entries that expired during the outage are written again within two seconds after the store recovers.
-	removalGracePeriod = 2 * time.Second
-	// outageRemovalWindow is how long after the last store failure a removal may still be caused by the outage.
-	outageRemovalWindow = 2 * time.Second
+	// lapseRecoveryTime is how long after the return of the store a target without an entry is still used. Entries that
+	// expired during an outage are written again within that time.
+	lapseRecoveryTime = 2 * time.Second
+	// removalShare is the fraction of the drain bound within which a target is dropped if its entry may have been
+	// removed on purpose. The rest covers the time until requests that have chosen it are sent.
+	removalShare = 0.9
 	// minSuspicionTime and maxSuspicionTime bound the time for which a failed target is suspected and gets new work
 	// only if there is no other target. It doubles with each consecutive failure, so that few attempts are wasted on a
 	// target that is gone.
@@ -87,7 +88,7 @@
 	limit               concurrencyLimit
 	reachability        reachability
 	backoff             backoff
-	// removeAt is when a target that left the list during a store outage is dropped; zero for listed targets.
+	// removeAt is when a target whose entry may have lapsed in an outage of the store is dropped; zero for listed targets.
 	removeAt time.Time
 	// beforeRestore reports whether the entry was read before the store was restored from a copy, which may have an
 	// older one.
@@ -104,7 +105,7 @@
 	return s.InService(now) && !now.Before(s.suspectUntil) && !s.Down(now)
 }
 
-// InService reports whether the target is listed, or within its removal grace period, and neither leaving nor known to be
+// InService reports whether the target is listed, or its entry may have lapsed only, and neither leaving nor known to be
 // gone. It may still be suspected or down.
 func (s *State) InService(now time.Time) bool {
 	return s.listedAsReady(now) && s.leavingSince.IsZero()
@@ -117,11 +118,11 @@
 
 // Fleet is the table of targets of one instance.
 type Fleet struct {
-	// DrainBound is how long after a response in which a target says that it leaves a request may be sent to it at most.
+	// DrainBound is how long after a response in which a target says that it leaves, or after the removal of its entry, a
+	// request may be sent to it at most.
 	DrainBound time.Duration
 
-	targets          *table.Table[entity.TargetID, State]
-	lastStoreFailure time.Time
+	targets *table.Table[entity.TargetID, State]
 	// loadsSharedAt is when the other instances last shared their load; zoneInstances is the number of instances in the
 	// zone of this instance, including itself.
 	loadsSharedAt time.Time
@@ -177,39 +178,70 @@
 	return true
 }
 
-// Remove handles the removal of a target's entry from the list. During and shortly after a store outage the target
-// stays in use for removalGracePeriod, since its entry may only have expired.
-func (f *Fleet) Remove(now time.Time, id entity.TargetID) {
+// Removal tells what is known of the store when an entry disappears from the list.
+type Removal struct {
+	// After is when the store last confirmed a list that had the entry.
+	After time.Time
+	// ReturnedAt is when the store came back from its last outage that lasted for the drain bound or longer, or from an
+	// older copy; zero if there was none.
+	ReturnedAt time.Time
+	// RecoveredAt is when reads last succeeded again after failed ones; zero if none has failed. Other instances may have
+	// reached the store all the while.
+	RecoveredAt time.Time
+}
+
+// usableUntil returns until when the target is still used, since its entry may only have lapsed in an outage. An entry
+// that may have been removed on purpose while other instances reached the store counts as removed right after it was last
+// confirmed.
+func (r Removal) usableUntil(drainBound time.Duration) time.Time {
+	limit := r.After.Add(time.Duration(removalShare * float64(drainBound)))
+	afterOutage := r.ReturnedAt.Add(lapseRecoveryTime)
+	if !r.After.Before(r.ReturnedAt) {
+		afterOutage = earlier(afterOutage, limit)
+	}
+	afterFailures := earlier(r.RecoveredAt.Add(lapseRecoveryTime), limit)
+	if afterFailures.After(afterOutage) {
+		return afterFailures
+	}
+	return afterOutage
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+// Remove handles the removal of a target's entry from the list. It reports whether the target stays in use for some time,
+// because its entry may only have lapsed in an outage of the store.
+func (f *Fleet) Remove(now time.Time, id entity.TargetID, removal Removal) (kept bool) {
 	state := f.targets.Get(id)
 	if state == nil {
-		return
+		return false
 	}
-	if f.lastStoreFailure.IsZero() || now.Sub(f.lastStoreFailure) > outageRemovalWindow {
+	until := removal.usableUntil(f.DrainBound)
+	if !now.Before(until) {
 		f.drop(now, state)
-		return
+		return false
 	}
 	if state.removeAt.IsZero() {
-		state.removeAt = now.Add(removalGracePeriod)
+		state.removeAt = until
 	}
+	return true
 }
 
-// Retain removes all targets that are not in listed, as Remove does.
-func (f *Fleet) Retain(now time.Time, listed map[entity.TargetID]bool) {
+// Retain removes all targets that are not in listed, as Remove does, and returns the number of those that stay in use.
+func (f *Fleet) Retain(now time.Time, listed map[entity.TargetID]bool, removal Removal) (kept int) {
 	for id := range f.targets.All {
-		if !listed[id] {
-			f.Remove(now, id)
+		if !listed[id] && f.Remove(now, id, removal) {
+			kept++
 		}
 	}
+	return kept
 }
 
-// RecordStoreFailure records that the store did not answer at the given time. Other instances may report failures late.
-func (f *Fleet) RecordStoreFailure(at time.Time) {
-	if at.After(f.lastStoreFailure) {
-		f.lastStoreFailure = at
-	}
-}
-
-// Tick drops the targets whose removal grace period has ended, and forgets targets that were dropped long ago.
+// Tick drops the targets whose entries have not come back in time, and forgets targets that were dropped long ago.
 func (f *Fleet) Tick(now time.Time) {
 	for _, state := range f.targets.All {
 		if !state.removeAt.IsZero() && !now.Before(state.removeAt) {
--- a/core/fleet/fleet_test.go
+++ b/core/fleet/fleet_test.go
@@ -14,40 +14,6 @@
 	return Target{ID: id, Service: "s", Zone: zone, Slots: 4, Born: 1}
 }
 
-// TestRemoveDuringOutage checks that a target whose entry disappears during a store outage stays in use for the grace
-// period, and that otherwise a removed target is dropped at once.
-func TestRemoveDuringOutage(t *testing.T) {
-	f := New()
-	f.Put(plainTarget("t1", "a"))
-	f.Put(plainTarget("t2", "a"))
-	f.Remove(start, "t1")
-	if f.Get("t1") != nil {
-		t.Error("target removed without a store outage is kept")
-	}
-	f.RecordStoreFailure(start)
-	f.Remove(start.Add(time.Second), "t2")
-	if state := f.Get("t2"); state == nil || !state.Usable(start.Add(2*time.Second)) {
-		t.Error("target whose entry expired during a store outage is not usable")
-	}
-	f.Tick(start.Add(time.Second + removalGracePeriod))
-	if f.Get("t2") != nil {
-		t.Error("target whose entry did not return is kept after the grace period")
-	}
-}
-
-// TestReturnAfterOutage checks that a target is kept if its entry returns after a store outage.
-func TestReturnAfterOutage(t *testing.T) {
-	f := New()
-	f.Put(plainTarget("t1", "a"))
-	f.RecordStoreFailure(start)
-	f.Retain(start, nil)
-	f.Put(plainTarget("t1", "a"))
-	f.Tick(start.Add(time.Minute))
-	if f.Get("t1") == nil {
-		t.Error("target whose entry returned was dropped")
-	}
-}
-
 // TestSuspicion checks that a failed target is suspected for a time that doubles with each consecutive failure, up to a
 // maximum, and that a success or a restart of the target ends the suspicion.
 func TestSuspicion(t *testing.T) {
--- a/core/fleet/leaving_test.go
+++ b/core/fleet/leaving_test.go
@@ -26,7 +26,7 @@
 		{"later entry that says ready", func(f *Fleet, _ time.Time) { f.Put(ready(7, 9)) }, "t", false},
 		{"older entry", func(f *Fleet, _ time.Time) { f.Put(ready(7, 1)) }, "t", false},
 		{"whole table read again", func(f *Fleet, now time.Time) {
-			f.Retain(now, map[entity.TargetID]bool{"t": true})
+			f.Retain(now, map[entity.TargetID]bool{"t": true}, Removal{})
 			f.Put(ready(7, 5))
 		}, "t", false},
 		{"restored store", func(f *Fleet, now time.Time) {
@@ -35,11 +35,11 @@
 			f.Put(ready(7, 9))
 		}, "t", false},
 		{"removed and listed again", func(f *Fleet, now time.Time) {
-			f.Remove(now, "t")
+			f.Remove(now, "t", Removal{})
 			f.Put(ready(7, 9))
 		}, "t", false},
 		{"removed, store restored, listed again", func(f *Fleet, now time.Time) {
-			f.Remove(now, "t")
+			f.Remove(now, "t", Removal{})
 			f.Tick(now.Add(30 * time.Second))
 			f.StoreRestored(now)
 			f.Put(ready(7, 3))
@@ -128,7 +128,7 @@
 	if f.Get("t1").InService(start.Add(time.Hour)) {
 		t.Error("forgotten although the entry is there")
 	}
-	f.Remove(start.Add(time.Hour), "t1")
+	f.Remove(start.Add(time.Hour), "t1", Removal{})
 	f.Tick(start.Add(time.Hour + leavingMemory + time.Second))
 	if len(f.leaving) != 0 {
 		t.Errorf("%d processes are remembered", len(f.leaving))
--- a/core/fleet/restore.go
+++ b/core/fleet/restore.go
@@ -47,7 +47,6 @@
 // targets is then newer than the list: entries may be missing until the targets write them again, those of targets that
 // have gone are back, and targets that are leaving may be listed as ready.
 func (f *Fleet) StoreRestored(now time.Time) {
-	f.RecordStoreFailure(now)
 	f.restoredAt = now
 	f.Tick(now)
 	maps.Copy(f.departedBefore, f.departed)
--- a/core/fleet/restore_test.go
+++ b/core/fleet/restore_test.go
@@ -42,10 +42,11 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			f := New()
+			f.DrainBound = drainBound
 			at := func(d time.Duration) time.Time { return time.Unix(0, 0).Add(d) }
 			f.Put(*test.known)
 			if test.gone {
-				f.Remove(at(restoredAt-10*time.Second), "t")
+				f.Remove(at(restoredAt-10*time.Second), "t", Removal{})
 			}
 			inService := func(now time.Time) bool {
 				f.Tick(now)
@@ -56,7 +57,7 @@
 			if test.copied != nil {
 				f.Put(*test.copied)
 			} else {
-				f.Retain(at(restoredAt), nil)
+				f.Retain(at(restoredAt), nil, Removal{After: at(restoredAt), ReturnedAt: at(restoredAt)})
 			}
 			if got := inService(at(restoredAt)); got != test.atOnce {
 				t.Errorf("in service at once: %v, want %v", got, test.atOnce)
@@ -80,7 +81,7 @@
 	f := New()
 	now := time.Unix(100, 0)
 	f.Put(Target{ID: "t", Born: 1, Revision: 5})
-	f.Remove(now, "t")
+	f.Remove(now, "t", Removal{})
 	f.Put(Target{ID: "t", Born: 1, Revision: 5})
 	if state := f.Get("t"); state == nil || !state.InService(now) {
 		t.Error("the target is not in service")
@@ -94,7 +95,7 @@
 	for _, listedBetween := range []bool{false, true} {
 		f := New()
 		f.Put(gone)
-		f.Remove(at(0), "t")
+		f.Remove(at(0), "t", Removal{})
 		f.StoreRestored(at(time.Second))
 		if listedBetween {
 			f.Put(gone)
@@ -113,9 +114,10 @@
 	f := New()
 	now := time.Unix(100, 0)
 	f.Put(Target{ID: "t", Born: 1, Revision: 3})
-	f.RecordStoreFailure(now)
-	f.Remove(now, "t")
-	now = now.Add(removalGracePeriod)
+	if !f.Remove(now, "t", Removal{ReturnedAt: now}) {
+		t.Error("a target whose entry may have lapsed is dropped at once")
+	}
+	now = now.Add(lapseRecoveryTime)
 	f.StoreRestored(now)
 	f.Put(Target{ID: "t", Born: 1, Revision: 3})
 	if f.Get("t").InService(now) {
--- a/core/tablecache/cache.go
+++ b/core/tablecache/cache.go
@@ -24,8 +24,8 @@
 	maxBatchRows = 500
 	// maxTombstones bounds the deleted rows that are remembered for instances that have not received the deletion.
 	maxTombstones = 2000
-	// outageMemory is how long an outage of the store is passed on to other instances.
-	outageMemory = 10 * time.Second
+	// recoveryMemory is how long it is passed on to other instances that reads succeeded again.
+	recoveryMemory = 10 * time.Second
 )
 
 // Row is a row of a table, or its deletion if Deleted is set.
@@ -45,8 +45,14 @@
 	Version rowversion.Version
 	// Age is the time since the store confirmed that there are no changes after Version other than those in Rows.
 	Age time.Duration
-	// OutageAge is the time since the last failed read of an outage of the store that preceded this content; 0 if there
-	// was none. Entries of targets may have lapsed in an outage.
+	// Held is how long the store held the call that returned the batch, which shows that it was there; 0 in batches
+	// from other instances, and if the response was late.
+	Held time.Duration
+	// StableFor is how long before the confirmation the sender knows the store to have answered without a gap of the
+	// bound, and AfterOutage whether there was such a gap before that time.
+	StableFor   time.Duration
+	AfterOutage bool
+	// OutageAge is the time since reads of the store succeeded again after failed ones; 0 if none has failed lately.
 	OutageAge time.Duration
 	// FailingFor and FailedAge are the times since the first and the last of the failed reads of the store since it
 	// last confirmed the sender's copy; 0 if there are none. The next successful read, by whichever instance, then
@@ -74,13 +80,24 @@
 	Restored bool
 	// Rows holds the new and changed rows in the order of their versions.
 	Rows []Row
-	// OutageAt is the time of an outage that another instance has reported; zero if it is not new.
-	OutageAt time.Time
+	// After is when the store last confirmed the copy that the batch was applied to: the rows have changed since.
+	After time.Time
+	// ReturnedAt is when the store came back from its last outage that lasted for the bound or longer, or from an older
+	// copy; zero if there was none as far as known.
+	ReturnedAt time.Time
+	// RecoveredAt is when reads of the store last succeeded again after failed ones; zero if none has failed. The store
+	// may have been there all the while, for other instances than those that failed.
+	RecoveredAt time.Time
 }
 
 // Cache is an instance's copy of a table. Rows never go back to an earlier version, but versions of a later era of the
 // store can have an older content. It is not safe for concurrent use.
 type Cache struct {
+	// Bound is the time within which a change must be known. While instances that reach the store keep to it, a longer
+	// gap between two confirmations is an outage of the store, or this instance was cut off or paused. No gap counts as
+	// one if Bound is 0.
+	Bound time.Duration
+
 	loaded bool
 	// rows holds the rows by key, including deleted ones after completeSince.
 	rows       map[string]Row
@@ -90,12 +107,17 @@
 	// version is the version up to which rows is complete, newest the highest version of a row.
 	version, newest rowversion.Version
 	confirmedAt     time.Time
+	// reachableAt is when the store was last known to be there without a confirmation.
+	reachableAt time.Time
+	// stableSince is since when all gaps between two confirmations are shorter than Bound, as far as known. afterOutage
+	// reports whether there was a longer one before; else nothing is known of that time.
+	stableSince time.Time
+	afterOutage bool
+	// recoveredAt is when reads last succeeded again after failed ones.
+	recoveredAt time.Time
 	// failedSince and failedAt are the times of the first and the last failed read of this instance or another one. The
 	// reads before confirmedAt do not count.
 	failedSince, failedAt time.Time
-	// failedElsewhere reports whether the last failed read was one of another instance.
-	failedElsewhere bool
-	outageAt        time.Time
 }
 
 // Loaded reports whether the cache has a copy of the table.
@@ -121,32 +143,29 @@
 func (c *Cache) failing() bool { return !c.failedSince.IsZero() && c.confirmedAt.Before(c.failedSince) }
 
 // RecordFailure records that a read of the store by this instance failed at time now.
-func (c *Cache) RecordFailure(now time.Time) { c.recordFailures(now, now, false) }
+func (c *Cache) RecordFailure(now time.Time) { c.recordFailures(now, now) }
 
-// recordFailures records reads that failed from first to last, by another instance if elsewhere is set.
-func (c *Cache) recordFailures(first, last time.Time, elsewhere bool) {
+// recordFailures records reads that failed from first to last.
+func (c *Cache) recordFailures(first, last time.Time) {
 	if !c.failing() || first.Before(c.failedSince) {
 		c.failedSince = first
 	}
 	if last.After(c.failedAt) {
-		c.failedAt, c.failedElsewhere = last, elsewhere
+		c.failedAt = last
 	}
 }
 
-// ApplyRead applies a batch that this instance has read from the store. Failed reads before it count as an outage of
-// the store only if no other instance has read the table meanwhile; else only some instances were cut off.
+// RecordReachable records that a call to the store was canceled at time now for another reason than an outage.
+func (c *Cache) RecordReachable(now time.Time) { c.reachableAt = now }
+
+// ApplyRead applies a batch that this instance has read from the store. If reads have failed before and no other
+// instance has read the table meanwhile, the store has recovered now; else only some instances were cut off.
 func (c *Cache) ApplyRead(now time.Time, batch Batch) Change {
-	outageAt := time.Time{}
 	if c.failing() {
-		c.outageAt = c.failedAt
-		if c.failedElsewhere {
-			outageAt = c.failedAt
-		}
+		c.recoveredAt = now
 	}
 	c.failedSince, c.failedAt = time.Time{}, time.Time{}
-	change := c.apply(now, batch)
-	change.OutageAt = outageAt
-	return change
+	return c.apply(batch, now.Add(-batch.Age), now.Add(-batch.Held), now)
 }
 
 // ApplyShared applies a batch from another instance. A batch that leaves a gap after this copy, or comes from an earlier
@@ -155,38 +174,60 @@
 	if batch.Version.Era() < c.version.Era() {
 		return Change{}
 	}
-	outageAt := time.Time{}
-	if batch.OutageAge > 0 {
-		if at := now.Add(-batch.OutageAge); at.After(c.outageAt) {
-			c.outageAt, outageAt = at, at
-		}
+	if at := now.Add(-batch.OutageAge); batch.OutageAge > 0 && at.After(c.recoveredAt) {
+		c.recoveredAt = at
 	}
 	if first := now.Add(-batch.FailingFor); batch.FailingFor > 0 && first.After(c.confirmedAt) {
-		c.recordFailures(first, now.Add(-batch.FailedAge), true)
+		c.recordFailures(first, now.Add(-batch.FailedAge))
 	}
-	change := c.apply(now, batch)
-	change.OutageAt = outageAt
-	return change
+	confirmed := now.Add(-batch.Age)
+	stableSince := confirmed.Add(-batch.StableFor)
+	return c.apply(batch, confirmed, stableSince, stableSince)
 }
 
-func (c *Cache) apply(now time.Time, batch Batch) Change {
-	switch {
-	case !batch.Full && (!c.loaded || batch.After > c.version):
+// apply applies a batch that the store confirmed at the time confirmed, at the end of a time without a gap that began at
+// since. If there was a gap before, the store came back at the time returned.
+func (c *Cache) apply(batch Batch, confirmed, since, returned time.Time) Change {
+	if !batch.Full && (!c.loaded || batch.After > c.version) {
 		return Change{}
-	case batch.Full && (!c.loaded || batch.Version > c.version):
-		c.confirm(now, batch)
-		return c.replace(batch)
 	}
-	c.confirm(now, batch)
-	return c.merge(batch)
+	after := c.confirmedAt
+	c.confirm(batch, confirmed, since, returned)
+	var change Change
+	if batch.Full && (!c.loaded || batch.Version > c.version) {
+		change = c.replace(batch)
+	} else {
+		change = c.merge(batch)
+	}
+	change.After, change.RecoveredAt = after, c.recoveredAt
+	if c.afterOutage {
+		change.ReturnedAt = c.stableSince
+	}
+	return change
 }
 
-// confirm records when the store confirmed the batch. The confirmation of an earlier version holds for this copy as
+// confirm records a confirmation with the times of apply. The confirmation of an earlier version holds for this copy as
 // well: all changes before that time are in the batch, and so in the copy.
-func (c *Cache) confirm(now time.Time, batch Batch) {
-	if at := now.Add(-batch.Age); at.After(c.confirmedAt) {
-		c.confirmedAt = at
+func (c *Cache) confirm(batch Batch, confirmed, since, returned time.Time) {
+	lastKnown := later(c.confirmedAt, c.reachableAt)
+	gap := c.Bound > 0 && since.Sub(lastKnown) >= c.Bound
+	switch {
+	case !c.loaded:
+		c.stableSince, c.afterOutage = returned, batch.AfterOutage
+	case gap, batch.Version.Era() > c.version.Era():
+		c.stableSince, c.afterOutage = returned, true
+	case since.Before(c.stableSince) && c.stableSince.Sub(confirmed) < c.Bound:
+		// The other instance knows of confirmations in or before the gap seen here.
+		c.stableSince, c.afterOutage = since, batch.AfterOutage
 	}
+	c.confirmedAt = later(c.confirmedAt, confirmed)
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
 }
 
 // merge applies changed rows. Those up to the version of the copy are already reflected in it.
@@ -273,9 +314,12 @@
 	if !c.loaded {
 		return nil
 	}
-	batch := &Batch{After: state.Version, Version: c.version, Age: c.age(now)}
-	if !c.outageAt.IsZero() && now.Sub(c.outageAt) < outageMemory {
-		batch.OutageAge = max(1, now.Sub(c.outageAt))
+	batch := &Batch{
+		After: state.Version, Version: c.version, Age: c.age(now),
+		StableFor: max(0, c.confirmedAt.Sub(c.stableSince)), AfterOutage: c.afterOutage,
+	}
+	if !c.recoveredAt.IsZero() && now.Sub(c.recoveredAt) < recoveryMemory {
+		batch.OutageAge = max(1, now.Sub(c.recoveredAt))
 	}
 	if c.failing() {
 		batch.FailingFor, batch.FailedAge = max(1, now.Sub(c.failedSince)), now.Sub(c.failedAt)
--- a/core/tablecache/cache_test.go
+++ b/core/tablecache/cache_test.go
@@ -28,9 +28,12 @@
 	return out
 }
 
+// testBound is the time within which a change must be known in these tests.
+const testBound = 2 * time.Second
+
 // loaded returns a cache with the rows a1 and b2, complete up to version 2 and confirmed at the start.
 func loaded() *Cache {
-	c := &Cache{}
+	c := &Cache{Bound: testBound}
 	c.ApplyRead(start, Batch{Full: true, Rows: []Row{row("a", 1), row("b", 2)}, Version: 2})
 	return c
 }
@@ -117,66 +120,6 @@
 	}
 }
 
-// TestOutage guards against instances that do not learn of an outage of the store in which entries may have lapsed, and
-// against a failure of one instance's own connection that counts as an outage.
-func TestOutage(t *testing.T) {
-	reader, member := loaded(), loaded()
-	reader.RecordFailure(at(time.Second))
-	reader.RecordFailure(at(2 * time.Second))
-	reader.ApplyRead(at(3*time.Second), Batch{After: 2, Version: 3})
-	change := member.ApplyShared(at(3*time.Second), *reader.Since(at(3*time.Second), member.State(at(3*time.Second))))
-	if !change.OutageAt.Equal(at(2 * time.Second)) {
-		t.Errorf("outage at %v, want 2 s after the start", change.OutageAt.Sub(start))
-	}
-	if again := member.ApplyShared(at(4*time.Second), *reader.Since(at(4*time.Second), member.State(at(4*time.Second)))); !again.OutageAt.IsZero() {
-		t.Errorf("the same outage is reported again, at %v", again.OutageAt.Sub(start))
-	}
-
-	reader, member = loaded(), loaded()
-	reader.RecordFailure(at(time.Second))
-	reader.ApplyShared(at(2*time.Second), Batch{After: 2, Version: 3})
-	reader.ApplyRead(at(3*time.Second), Batch{After: 3, Version: 4})
-	change = member.ApplyShared(at(3*time.Second), *reader.Since(at(3*time.Second), member.State(at(3*time.Second))))
-	if !change.OutageAt.IsZero() {
-		t.Errorf("a failure of one instance counts as an outage at %v", change.OutageAt.Sub(start))
-	}
-}
-
-// TestOutageSurvivesReader guards against a new reader that does not know of the failed reads of the one before it, and
-// so takes entries that lapsed in the outage for removed.
-func TestOutageSurvivesReader(t *testing.T) {
-	reader, member, other := loaded(), loaded(), loaded()
-	reader.RecordFailure(at(time.Second))
-	if !reader.IsNews(at(time.Second), member.State(at(time.Second))) {
-		t.Error("a failed read is no news")
-	}
-	member.ApplyShared(at(time.Second), *reader.Since(at(time.Second), member.State(at(time.Second))))
-	if reader.IsNews(at(time.Second), member.State(at(time.Second))) {
-		t.Error("a failed read that is known is news")
-	}
-	change := member.ApplyRead(at(2*time.Second), Batch{After: 2, Version: 3})
-	if !change.OutageAt.Equal(at(time.Second)) {
-		t.Errorf("the new reader found an outage at %v, want 1 s after the start", change.OutageAt.Sub(start))
-	}
-	change = other.ApplyShared(at(2*time.Second), *member.Since(at(2*time.Second), other.State(at(2*time.Second))))
-	if !change.OutageAt.Equal(at(time.Second)) {
-		t.Errorf("another member learned of an outage at %v, want 1 s after the start", change.OutageAt.Sub(start))
-	}
-}
-
-// TestOutageAfterOwnFailure guards against an outage that goes unnoticed because the instance could not read the store
-// already before it, when others still could.
-func TestOutageAfterOwnFailure(t *testing.T) {
-	c := loaded()
-	c.RecordFailure(at(time.Second))
-	c.ApplyShared(at(2*time.Second), Batch{After: 2, Version: 3})
-	c.RecordFailure(at(3 * time.Second))
-	c.ApplyRead(at(4*time.Second), Batch{After: 3, Version: 4})
-	if got := c.Since(at(4*time.Second), State{}); got.OutageAge != time.Second {
-		t.Errorf("the last failed read of the outage was %v ago, want 1s", got.OutageAge)
-	}
-}
-
 // modelStore is a table with its complete history.
 type modelStore struct {
 	version rowversion.Version
--- a/internal/edge/observers.go
+++ b/internal/edge/observers.go
@@ -18,14 +18,14 @@
 func (o *configurationObserver) StoreRestored(uint64) {}
 
 // Replaced implements watch.Observer.
-func (o *configurationObserver) Replaced(rows []tablecache.Row, version rowversion.Version) {
-	o.Changed(rows, version)
+func (o *configurationObserver) Replaced(change tablecache.Change, version rowversion.Version) {
+	o.Changed(change, version)
 }
 
 // Changed implements watch.Observer.
-func (o *configurationObserver) Changed(rows []tablecache.Row, version rowversion.Version) {
+func (o *configurationObserver) Changed(change tablecache.Change, version rowversion.Version) {
 	defer o.sharer.TablesChanged()
-	for _, row := range rows {
+	for _, row := range change.Rows {
 		if row.Key != platform.ConfigurationKey || row.Deleted {
 			continue
 		}
@@ -52,9 +52,6 @@
 // Confirmed implements watch.Observer.
 func (o *configurationObserver) Confirmed() {}
 
-// OutageReported implements watch.Observer.
-func (o *configurationObserver) OutageReported(time.Time) {}
-
 // targetObserver keeps the fleet of the gateway in step with the list of targets.
 type targetObserver Daemon
 
@@ -66,37 +63,54 @@
 }
 
 // Replaced implements watch.Observer.
-func (o *targetObserver) Replaced(rows []tablecache.Row, version rowversion.Version) {
-	listed := make(map[entity.TargetID]bool, len(rows))
-	for _, row := range rows {
+func (o *targetObserver) Replaced(change tablecache.Change, version rowversion.Version) {
+	listed := make(map[entity.TargetID]bool, len(change.Rows))
+	for _, row := range change.Rows {
 		listed[entity.TargetID(row.Key)] = true
 	}
-	o.gateway.WithFleet(func(f *fleet.Fleet) { f.Retain(boottime.Now(), listed) })
-	log.Event("list of targets read", "rows", len(rows), "store", version)
-	o.Changed(rows, version)
+	now, kept := boottime.Now(), 0
+	o.gateway.WithFleet(func(f *fleet.Fleet) { kept = f.Retain(now, listed, removal(change)) })
+	log.Event("list of targets read", "rows", len(change.Rows), "store", version, "kept", kept,
+		"returnedBefore", age(now, change.ReturnedAt))
+	o.Changed(change, version)
 	o.targetsLoaded.Store(true)
 }
 
 // Changed implements watch.Observer.
-func (o *targetObserver) Changed(rows []tablecache.Row, version rowversion.Version) {
+func (o *targetObserver) Changed(change tablecache.Change, _ rowversion.Version) {
 	defer o.sharer.TablesChanged()
-	for _, row := range rows {
-		o.apply(row)
+	for _, row := range change.Rows {
+		o.apply(row, removal(change))
+	}
+}
+
+// removal returns what a change of the list tells about the entries that it removes.
+func removal(change tablecache.Change) fleet.Removal {
+	return fleet.Removal{After: change.After, ReturnedAt: change.ReturnedAt, RecoveredAt: change.RecoveredAt}
+}
+
+// age returns the time since at for a log line; "" if at is zero.
+func age(now, at time.Time) string {
+	if at.IsZero() {
+		return ""
 	}
+	return now.Sub(at).Round(time.Millisecond).String()
 }
 
 // apply updates the fleet from one row. A row that cannot be decoded counts as removed.
-func (o *targetObserver) apply(row tablecache.Row) {
+func (o *targetObserver) apply(row tablecache.Row, removal fleet.Removal) {
 	id := entity.TargetID(row.Key)
 	if row.Deleted {
-		o.gateway.WithFleet(func(f *fleet.Fleet) { f.Remove(boottime.Now(), id) })
-		log.Event("target gone", "target", id, "row", row.Version)
+		now, kept := boottime.Now(), false
+		o.gateway.WithFleet(func(f *fleet.Fleet) { kept = f.Remove(now, id, removal) })
+		log.Event("target gone", "target", id, "row", row.Version, "kept", kept, "listedBefore", age(now, removal.After),
+			"returnedBefore", age(now, removal.ReturnedAt), "recoveredBefore", age(now, removal.RecoveredAt))
 		return
 	}
 	target, err := platform.DecodeTarget(row.Key, row.Value)
 	if err != nil {
 		log.Event("entry is no target", "row", row.Version, "error", err.Error())
-		o.gateway.WithFleet(func(f *fleet.Fleet) { f.Remove(boottime.Now(), id) })
+		o.gateway.WithFleet(func(f *fleet.Fleet) { f.Remove(boottime.Now(), id, removal) })
 		return
 	}
 	var previous fleet.Target
@@ -131,13 +145,7 @@
 	defer o.sharer.TablesChanged()
 	o.metrics.StoreErrors.WithLabelValues("targets").Inc()
 	o.store.CloseIdleConnections()
-	o.gateway.WithFleet(func(f *fleet.Fleet) { f.RecordStoreFailure(boottime.Now()) })
 }
 
 // Confirmed implements watch.Observer.
 func (o *targetObserver) Confirmed() {}
-
-// OutageReported implements watch.Observer.
-func (o *targetObserver) OutageReported(at time.Time) {
-	o.gateway.WithFleet(func(f *fleet.Fleet) { f.RecordStoreFailure(at) })
-}
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -50,16 +50,13 @@
 	// StoreRestored is called before the rows of a store that has come back from an older copy of its content.
 	StoreRestored(era uint64)
 	// Replaced is called with all rows of the table, which replace those known before.
-	Replaced(rows []tablecache.Row, version rowversion.Version)
+	Replaced(change tablecache.Change, version rowversion.Version)
 	// Changed is called with changed rows in order.
-	Changed(rows []tablecache.Row, version rowversion.Version)
+	Changed(change tablecache.Change, version rowversion.Version)
 	// StoreLost is called after each failed read except for ErrHistoryLost. Confirmed is called after each successful
 	// read, even without changes: what is known is then up to date.
 	StoreLost(err error)
 	Confirmed()
-	// OutageReported is called when another instance reports an outage of the store, before the rows that followed it.
-	// at is a reading of the clock of package boottime.
-	OutageReported(at time.Time)
 }
 
 var log = logging.For("watch")
@@ -121,7 +118,9 @@
 
 // New returns a watcher of a table.
 func New(options Options) *Watcher {
-	return &Watcher{options: options, wake: make(chan struct{}, 1)}
+	return &Watcher{
+		options: options, wake: make(chan struct{}, 1), cache: tablecache.Cache{Bound: options.Policy.Bound},
+	}
 }
 
 // NewestVersion returns the highest version of a row known, to be reported to other instances.
@@ -225,17 +224,14 @@
 
 // deliver passes a change to the observer. The caller holds w.delivery.
 func (w *Watcher) deliver(change tablecache.Change, version rowversion.Version) {
-	if !change.OutageAt.IsZero() {
-		w.observer.OutageReported(change.OutageAt)
-	}
 	if change.Restored {
 		w.observer.StoreRestored(version.Era())
 	}
 	switch {
 	case change.Replaced:
-		w.observer.Replaced(change.Rows, version)
+		w.observer.Replaced(change, version)
 	case len(change.Rows) > 0:
-		w.observer.Changed(change.Rows, version)
+		w.observer.Changed(change, version)
 	}
 }
 
@@ -295,6 +291,7 @@
 		case ctx.Err() != nil:
 			return
 		case errors.Is(err, errRoleChanged), errors.Is(err, errRestored):
+			w.recordReachable()
 		case errors.Is(err, ErrHistoryLost):
 			w.recordHistoryLoss()
 		case err != nil:
@@ -352,6 +349,13 @@
 	log.Event("history lost, reading the whole table", "table", w.options.Table, "version", w.cache.Version())
 }
 
+// recordReachable records that a call was canceled although the store may have answered.
+func (w *Watcher) recordReachable() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.cache.RecordReachable(boottime.Now())
+}
+
 // recordFailure records a failed read and sets the time of the next one.
 func (w *Watcher) recordFailure(err error, random *rand.Rand) {
 	w.mu.Lock()
@@ -362,6 +366,7 @@
 	w.failedAt = now
 	switch {
 	case errors.Is(err, errLagging):
+		w.cache.RecordReachable(now) // another instance has read a newer row
 	case w.role.Reader || !w.cache.Loaded():
 		w.notBefore = now.Add(retry.Backoff(random, w.failures, minBackoff, maxBackoff))
 	default:
@@ -429,6 +434,8 @@
 	}
 	if elapsed := boottime.Now().Sub(started); whole || wait == 0 || elapsed > wait+lateResponse {
 		batch.Age = elapsed
+	} else {
+		batch.Held = elapsed
 	}
 	return batch, nil
 }
--- a/internal/watch/watch_test.go
+++ b/internal/watch/watch_test.go
@@ -58,12 +58,11 @@
 	r.seen = append(r.seen, text)
 }
 
-func (r *recorder) StoreRestored(uint64)                          { r.record("restored") }
-func (r *recorder) Replaced([]tablecache.Row, rowversion.Version) { r.record("replaced") }
-func (r *recorder) Changed([]tablecache.Row, rowversion.Version)  { r.record("changed") }
-func (r *recorder) StoreLost(error)                               { r.record("lost") }
-func (r *recorder) Confirmed()                                    { r.record("confirmed") }
-func (r *recorder) OutageReported(time.Time)                      { r.record("outage") }
+func (r *recorder) StoreRestored(uint64)                           { r.record("restored") }
+func (r *recorder) Replaced(tablecache.Change, rowversion.Version) { r.record("replaced") }
+func (r *recorder) Changed(tablecache.Change, rowversion.Version)  { r.record("changed") }
+func (r *recorder) StoreLost(error)                                { r.record("lost") }
+func (r *recorder) Confirmed()                                     { r.record("confirmed") }
 
 // reply returns a step with new rows of the given version.
 func reply(rows int, version rowversion.Version) func() (tablecache.Batch, error) {
