Answer streams that time out before their first event

Cause: the write deadline of a stream was the deadline of the request itself, so that the answer to a request that has timed out could not be written.

Change: the write deadline of a stream ends a second after its own deadline; answers and buffered responses have ten seconds from when they are written (the latter had no limit). The emulated engines can begin their streams late, and the configuration of the tests can shorten the timeout of streams.

In internal/callerapi write deadlines are set right before each write: no fault there, by reading.

--- a/internal/emulator/edgeplatform/configuration.go
+++ b/internal/emulator/edgeplatform/configuration.go
@@ -1,5 +1,7 @@
 package edgeplatform
 
+import "time"
+
 // Constants of every Configuration: the host name of its routes and the number of layers of its model.
 const (
 	Host        = "x.example"
@@ -15,14 +17,20 @@
 	Keys    []string
 	// PostAttempts is the maximum number of targets to which one posting is sent.
 	PostAttempts int
+	// StreamTimeout is the timeout of streams, 5 s if 0.
+	StreamTimeout time.Duration
 }
 
 // Row returns the value of the configuration row that the operator writes.
 func (c Configuration) Row() map[string]any {
+	gen := route("gen", "streaming", "llm", 2, true)
+	if c.StreamTimeout > 0 {
+		gen["timeoutMs"] = c.StreamTimeout.Milliseconds()
+	}
 	return map[string]any{
 		"version": c.Version,
 		"routes": []any{
-			route("gen", "streaming", "llm", 2, true), route("post", "non_idempotent", "ledger", c.PostAttempts, false),
+			gen, route("post", "non_idempotent", "ledger", c.PostAttempts, false),
 			route("read", "idempotent", "ledger", 2, false),
 		},
 		"services": []any{
--- a/internal/emulator/edgeplatform/serving.go
+++ b/internal/emulator/edgeplatform/serving.go
@@ -133,6 +133,11 @@
 	w.Header().Set("X-Server-Stamp", "stamp-"+t.ID)
 	w.WriteHeader(http.StatusOK)
 	control := http.NewResponseController(w)
+	select {
+	case <-time.After(faults.FirstEventDelay):
+	case <-r.Context().Done():
+		return
+	}
 	if faults.CrashOnPart != "" && hasPart(r, faults.CrashOnPart) {
 		t.crash()
 		panic(http.ErrAbortHandler)
--- a/internal/emulator/edgeplatform/target.go
+++ b/internal/emulator/edgeplatform/target.go
@@ -24,6 +24,8 @@
 	// the middle of the next event.
 	BreakAfter    int
 	BreakMidEvent bool
+	// FirstEventDelay is how long a stream has no event at first.
+	FirstEventDelay time.Duration
 	// StallAfter makes each stream stall after this many events; 0 for never.
 	StallAfter int
 	// CommentWhileStalled makes a stalled stream send comments.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -31,8 +31,14 @@
 	"github.com/hyssophoist/hyssophoist/internal/logging"
 )
 
-// maxTimeout is the maximum time of a request; callers and routes can only shorten it.
-const maxTimeout = 30 * time.Second
+const (
+	// maxTimeout is the maximum time of a request; callers and routes can only shorten it.
+	maxTimeout = 30 * time.Second
+	// responseWriteTimeout limits the time to write a whole response to a caller, and streamWriteTimeout the time after
+	// its deadline for which a stream waits for a caller that does not read.
+	responseWriteTimeout = 10 * time.Second
+	streamWriteTimeout   = time.Second
+)
 
 // resultOK is the result, in logs and metrics, of a request whose complete response was forwarded to the caller,
 // whatever the response's status. All other results are error kinds.
@@ -372,6 +378,7 @@
 
 // endWithRetryAfter is endWithError with the delay after which the caller should retry.
 func (q *request) endWithRetryAfter(kind errkind.Kind, after time.Duration) {
+	q.setWriteTimeout(responseWriteTimeout)
 	q.closeWhileStopping()
 	q.gateway.options.Codec.WriteError(q.writer, q.ID, kind, after)
 	result := kind
@@ -381,6 +388,14 @@
 	q.recordEnd(string(result), strconv.Itoa(errkind.ResponseFor(kind).Status))
 }
 
+// setWriteTimeout limits the time to write to the caller. It must not end with the request's own time: the response to a
+// request that has timed out is written after that.
+func (q *request) setWriteTimeout(timeout time.Duration) {
+	if err := http.NewResponseController(q.writer).SetWriteDeadline(time.Now().Add(timeout)); err != nil {
+		log.Debugf("no write deadline for request %s: %v", q.ID, err)
+	}
+}
+
 // closeWhileStopping asks the caller to close its connection if the instance stops. It must be called before the head of
 // the response is written.
 func (q *request) closeWhileStopping() {
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -194,6 +194,7 @@
 
 // writeResponse forwards a target's complete response to the caller.
 func (q *request) writeResponse(response *bufferedResponse) {
+	q.setWriteTimeout(responseWriteTimeout)
 	copyHeader(q.writer.Header(), response.head.Header)
 	q.closeWhileStopping()
 	q.writer.Header().Set("Content-Length", strconv.Itoa(len(response.body)))
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -86,9 +86,7 @@
 		q.endWithError(errkind.NoCapacity)
 		return
 	}
-	if err := s.controller.SetWriteDeadline(time.Now().Add(q.timeLeft())); err != nil {
-		log.Debugf("no write deadline for request %s: %v", q.ID, err)
-	}
+	q.setWriteTimeout(q.timeLeft() + streamWriteTimeout)
 	s.size = dispatch.EstimateGeneration(q.service.Engine, q.PromptTokens, q.ExpectedTokens, q.MaxTokens)
 	for {
 		done, retry := s.runAttempt(ctx)
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -36,6 +36,7 @@
 	{4, 15, "three of four connections were silent; the last configuration took more than 2 s to take effect"},
 	{207, 15, "two daemons with silent connections kept each other from accepting the last configuration from the daemons that had it"},
 	{8, 15, "SIGHUP terminated a process that had just started"},
+	{920038, 21, "a stream that timed out before its first event got a closed connection in place of its answer"},
 }
 
 // TestRandomisedSoak guards against violated guarantees to callers and targets while faults overlap, such as postings
