Do not break off begun streams after a few refusals

Streams were closed in the middle 0.4 to 1 s after they had lost their engines, although their callers wait for two seconds or more.

Cause: the limits for requests that have got nothing yet, four attempts and a second without a path, also held for streams that have begun, which can no longer be refused. Engines refuse, or layers are missing, for a second or so after targets have left.

Change: a stream that has begun waits up to 3 s for a path and may be sent 16 times, each within the limit of retries. How often it may run is unchanged.

Evidence: TestBegunStreamOutlastsRefusals and TestBegunStreamWaitsForEngines fail without the change (streams end after five events) and pass with it, three times each.

--- /dev/null
+++ b/internal/edge/begun_test.go
@@ -0,0 +1,89 @@
+package edge
+
+import (
+	"net/http"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/hyssophoist/hyssophoist/internal/emulator/edgeplatform"
+)
+
+// streamThatStalls sends a stream whose first engine stalls after a few events and waits until it has begun. The result
+// follows when the stream has ended.
+func (d *deployment) streamThatStalls(daemon *Daemon) (first *edgeplatform.Target, got chan result) {
+	d.t.Helper()
+	first, _ = d.findPath(daemon)
+	first.SetFaults(edgeplatform.TargetFaults{StallAfter: 5})
+	got = make(chan result, 1)
+	go func() { got <- d.stream(daemon, "begun") }()
+	d.waitUntil("the stream runs", func() bool { return len(d.runsOf("begun")) > 0 })
+	return first, got
+}
+
+// TestBegunStreamOutlastsRefusals guards against streams that are broken off in the middle because engines refuse
+// them a few times, for instance while they load layers, although the caller still waits.
+func TestBegunStreamOutlastsRefusals(t *testing.T) {
+	t.Parallel()
+	d := newDeployment(t)
+	daemon := d.addDaemonAndAwaitPlacement()
+	_, got := d.streamThatStalls(daemon)
+	for _, engine := range d.engines {
+		engine.SetFaults(edgeplatform.TargetFaults{Refuse: true})
+	}
+	d.waitUntil("engines have refused the stream three times", func() bool {
+		arrivals := 0
+		for _, engine := range d.engines {
+			for _, arrival := range engine.Arrivals() {
+				if arrival.RequestID == "begun" {
+					arrivals++
+				}
+			}
+		}
+		return arrivals >= 1+3
+	})
+	time.Sleep(200 * time.Millisecond)
+	for _, engine := range d.engines {
+		engine.SetFaults(edgeplatform.TargetFaults{})
+	}
+	d.checkWholeStream(<-got)
+}
+
+// TestBegunStreamWaitsForEngines guards against streams that are broken off in the middle because for more than a second
+// no engines have the layers, although the caller still waits.
+func TestBegunStreamWaitsForEngines(t *testing.T) {
+	t.Parallel()
+	d := newDeployment(t)
+	daemon := d.addDaemonAndAwaitPlacement()
+	first, got := d.streamThatStalls(daemon)
+	var gone []*edgeplatform.Target
+	for _, engine := range d.engines {
+		from, to, _ := engine.Layers()
+		if firstFrom, _, _ := first.Layers(); from == firstFrom && to > 0 {
+			gone = append(gone, engine)
+		}
+	}
+	for _, engine := range gone {
+		d.register(engine, "draining")
+	}
+	d.waitUntil("the daemon knows that they leave", func() bool {
+		return !slices.ContainsFunc(gone, func(engine *edgeplatform.Target) bool { return !daemon.target(engine.ID).Draining })
+	})
+	first.Close() // ends the attempt at once
+	time.Sleep(1500 * time.Millisecond)
+	for _, engine := range gone {
+		if engine != first {
+			d.register(engine, "ready")
+		}
+	}
+	d.checkWholeStream(<-got)
+}
+
+// checkWholeStream fails the test unless the result is that of a whole stream.
+func (d *deployment) checkWholeStream(got result) {
+	d.t.Helper()
+	if got.status != http.StatusOK || got.err != nil {
+		d.t.Fatalf("stream: %+v", got)
+	}
+	checkEvents(d.t, got.body)
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -29,7 +29,11 @@
 	// refused caller retries only once. pathRetryInterval is the interval between two tries to find a path.
 	pathTimeout       = time.Second
 	pathRetryInterval = 100 * time.Millisecond
-	eventBufferBytes  = 2 << 10
+	// begunPathTimeout and maxBegunSends replace pathTimeout and maxSends for a stream that has begun: it can no longer be
+	// refused, and callers wait for its next event for two seconds or more.
+	begunPathTimeout = 3 * time.Second
+	maxBegunSends    = 16
+	eventBufferBytes = 2 << 10
 	// maxRefusalTime distinguishes an engine that refuses for a reason of its own, which it does at once, from one that
 	// has waited for an engine that was lost.
 	maxRefusalTime = time.Second
@@ -93,7 +97,7 @@
 		if done {
 			return
 		}
-		if !retry || s.mayCrashEngines() || !q.hasTime(ctx) || q.sends >= maxSends || !q.takeRetry() {
+		if !retry || s.mayCrashEngines() || !q.hasTime(ctx) || q.sends >= s.maxSends() || !q.takeRetry() {
 			break
 		}
 	}
@@ -187,11 +191,24 @@
 	return s.handleInterruption(ctx, err)
 }
 
+// maxSends returns the maximum number of attempts, including those that engines rejected without running them.
+func (s *stream) maxSends() int {
+	if s.headWritten {
+		return maxBegunSends
+	}
+	return maxSends
+}
+
 // awaitPath returns a reserved path. If engines are missing or have just refused the stream, it waits up to pathTimeout
-// for a path, and returns nil if it finds none. It does not wait for first engines that all asked for time.
+// or begunPathTimeout for a path, and returns nil if it finds none. It does not wait for first engines that all asked for
+// time.
 func (s *stream) awaitPath(ctx context.Context) *dispatch.Path {
+	timeout := pathTimeout
+	if s.headWritten {
+		timeout = begunPathTimeout
+	}
 	for waited := time.Duration(0); ; waited += pathRetryInterval {
-		if path := s.choosePath(); path != nil || waited >= pathTimeout || ctx.Err() != nil || s.allBackOff() {
+		if path := s.choosePath(); path != nil || waited >= timeout || ctx.Err() != nil || s.allBackOff() {
 			return path
 		}
 		// An engine that refused may have capacity again, and there may be no other.
