--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -304,11 +304,12 @@
 // observe records a row. This daemon holds the lease if the row has the change id of one of its writes; the duration
 // then counts from when that write was issued, however late it took effect.
 func (l *Lease) observe(now time.Time, row Row) {
-	if row.Version != 0 && rowversion.Version(row.Version).Era() < l.era {
+	era := rowversion.Version(row.Version).Era()
+	if row.Version != 0 && era < l.era {
 		l.rowCurrent = false // the answer was on its way while the store was restored
 		return
 	}
-	l.SetEra(now, rowversion.Version(row.Version).Era())
+	l.SetEra(now, era)
 	if row.Version != l.row.Version || row.Record.ChangeID != l.row.Record.ChangeID {
 		l.observedAt = now
 	}
--- a/core/tablecache/cache_test.go
+++ b/core/tablecache/cache_test.go
@@ -219,6 +219,18 @@
 	sentAt time.Time
 }
 
+// takeMessage removes a random message from those on their way and returns it with the age that it has at time now.
+func takeMessage(random *rand.Rand, now time.Time, pending *[]message) (m message, found bool) {
+	if len(*pending) == 0 {
+		return message{}, false
+	}
+	k := random.IntN(len(*pending))
+	m = (*pending)[k]
+	*pending = slices.Delete(*pending, k, k+1)
+	m.batch.Age += now.Sub(m.sentAt)
+	return m, true
+}
+
 func runCaches(t *testing.T, random *rand.Rand) bool {
 	store := &modelStore{changedAt: make(map[rowversion.Version]time.Time)}
 	followers := make([]*follower, 4)
@@ -247,15 +259,10 @@
 				pending = append(pending, message{to: i, batch: *batch, sentAt: now})
 			}
 		default:
-			if len(pending) == 0 {
-				continue
+			if m, found := takeMessage(random, now, &pending); found {
+				to := followers[m.to]
+				to.observe(to.cache.ApplyShared(now, m.batch))
 			}
-			k := random.IntN(len(pending))
-			m := pending[k]
-			pending = slices.Delete(pending, k, k+1)
-			m.batch.Age += now.Sub(m.sentAt)
-			to := followers[m.to]
-			to.observe(to.cache.ApplyShared(now, m.batch))
 		}
 		for n, f := range followers {
 			if problem := checkFollower(store, f); problem != "" {
--- a/core/tablecache/restore_test.go
+++ b/core/tablecache/restore_test.go
@@ -158,14 +158,9 @@
 				pending = append(pending, message{to: i, batch: *batch, sentAt: now})
 			}
 		default:
-			if len(pending) == 0 {
-				continue
+			if m, found := takeMessage(random, now, &pending); found {
+				readers[m.to].observe(readers[m.to].cache.ApplyShared(now, m.batch))
 			}
-			k := random.IntN(len(pending))
-			m := pending[k]
-			pending = slices.Delete(pending, k, k+1)
-			m.batch.Age += now.Sub(m.sentAt)
-			readers[m.to].observe(readers[m.to].cache.ApplyShared(now, m.batch))
 		}
 		for n, r := range readers {
 			if problem := checkReader(store, r); problem != "" {
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -10,6 +10,7 @@
 	"syscall"
 	"time"
 
+	"github.com/hyssophoist/hyssophoist/core/dispatch"
 	"github.com/hyssophoist/hyssophoist/core/errkind"
 	"github.com/hyssophoist/hyssophoist/core/fleet"
 	"github.com/hyssophoist/hyssophoist/core/quarantine"
@@ -74,17 +75,32 @@
 // cancelQuarantined cancels the attempts with a quarantined part that have got no event: their engines may not have
 // begun to answer, and then do not crash.
 func (g *Gateway) cancelQuarantined() {
+	for _, c := range g.takeQuarantined() {
+		log.Event("attempt cancelled", "request", c.request, "part", c.part, "path", formatPath(c.path))
+	}
+}
+
+// cancelledAttempt is an attempt that was cancelled because of a part of its prompt.
+type cancelledAttempt struct {
+	request, part string
+	path          *dispatch.Path
+}
+
+// takeQuarantined cancels the attempts of cancelQuarantined and returns them, so that they are logged without the lock.
+func (g *Gateway) takeQuarantined() (cancelled []cancelledAttempt) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	now := boottime.Now()
 	for s := range g.streams {
 		if s.eventForwarded.Load() {
 			continue // the request cannot crash an engine
 		}
-		if part, found := g.quarantine.Quarantined(boottime.Now(), s.PromptParts); found {
-			log.Event("attempt cancelled", "request", s.ID, "part", part, "path", formatPath(s.path))
+		if part, found := g.quarantine.Quarantined(now, s.PromptParts); found {
 			s.cancelAttempt()
+			cancelled = append(cancelled, cancelledAttempt{request: s.ID, part: part, path: s.path})
 		}
 	}
+	return cancelled
 }
 
 // quarantined reports whether the request has a part that is quarantined, so that it must not be sent.
