Keep targets gone whose removal was known before a restore

What callers could see: requests to a target that is gone, for as long as its entry stays in the list of a store that was restored from an older copy.

Cause: a target whose removal was known, but which was kept in case its entry had only lapsed, went back into use when the older copy listed it.

Change: StoreRestored drops such targets, so that they count as gone until they write their entry again.

Evidence: TestRemovedTargetStaysGoneAfterRestore fails without the change (in service) and passes with it; the tests of restores in core and internal/edge passed.

--- a/core/fleet/restore.go
+++ b/core/fleet/restore.go
@@ -49,6 +49,12 @@
 func (f *Fleet) StoreRestored(now time.Time) {
 	f.restoredAt = now
 	f.Tick(now)
+	// The removal of a target that was only kept in case its entry had lapsed is newer than the copy.
+	for _, state := range f.targets.All {
+		if !state.removeAt.IsZero() {
+			f.drop(now, state)
+		}
+	}
 	maps.Copy(f.departedBefore, f.departed)
 	clear(f.departed)
 	for _, state := range f.targets.All {
--- a/core/fleet/restore_test.go
+++ b/core/fleet/restore_test.go
@@ -108,6 +108,25 @@
 	}
 }
 
+// TestRemovedTargetStaysGoneAfterRestore guards against a target whose removal is known, and that was only kept in case its
+// entry had lapsed, and is used on because the copy that the store was restored from has the entry.
+func TestRemovedTargetStaysGoneAfterRestore(t *testing.T) {
+	f := newBoundFleet()
+	now := time.Unix(100, 0)
+	f.Put(Target{ID: "t", Born: 1, Revision: 3})
+	f.Remove(now, "t", Removal{After: now, RecoveredAt: now})
+	now = now.Add(time.Second)
+	f.StoreRestored(now)
+	f.Put(Target{ID: "t", Born: 1, Revision: 3})
+	if f.Get("t").InService(now.Add(time.Second)) {
+		t.Error("the target is in service")
+	}
+	f.Put(Target{ID: "t", Born: 1, Revision: 4})
+	if !f.Get("t").InService(now.Add(time.Second)) {
+		t.Error("the target is not in service although it has written its entry again")
+	}
+}
+
 // TestTargetPastItsGracePeriodIsGone guards against a target that left during an outage and is used again because a copy
 // was read before the table was tidied up.
 func TestTargetPastItsGracePeriodIsGone(t *testing.T) {
