Do not take held calls of a lone reader for an outage

An instance that no other relies on waits up to 20 s for a change; if the store answers that it has lost its history, nothing has been confirmed for that long.

Change: an answer that history is lost shows that the store was there (RecordReachable).

Evidence: TestHeldCallIsNoOutage fails without the change (history lost) and passes with it.

--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -346,6 +346,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.needSnapshot = true
+	w.cache.RecordReachable(boottime.Now())
 	log.Event("history lost, reading the whole table", "table", w.options.Table, "version", w.cache.Version())
 }
 
--- a/internal/watch/watch_test.go
+++ b/internal/watch/watch_test.go
@@ -50,6 +50,8 @@
 type recorder struct {
 	mu   sync.Mutex
 	seen []string
+	// last is the last change.
+	last tablecache.Change
 }
 
 func (r *recorder) record(text string) {
@@ -58,11 +60,24 @@
 	r.seen = append(r.seen, text)
 }
 
-func (r *recorder) StoreRestored(uint64)                           { r.record("restored") }
-func (r *recorder) Replaced(tablecache.Change, rowversion.Version) { r.record("replaced") }
-func (r *recorder) Changed(tablecache.Change, rowversion.Version)  { r.record("changed") }
-func (r *recorder) StoreLost(error)                                { r.record("lost") }
-func (r *recorder) Confirmed()                                     { r.record("confirmed") }
+func (r *recorder) recordChange(text string, change tablecache.Change) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.seen, r.last = append(r.seen, text), change
+}
+
+func (r *recorder) StoreRestored(uint64) { r.record("restored") }
+
+func (r *recorder) Replaced(change tablecache.Change, _ rowversion.Version) {
+	r.recordChange("replaced", change)
+}
+
+func (r *recorder) Changed(change tablecache.Change, _ rowversion.Version) {
+	r.recordChange("changed", change)
+}
+
+func (r *recorder) StoreLost(error) { r.record("lost") }
+func (r *recorder) Confirmed()      { r.record("confirmed") }
 
 // reply returns a step with new rows of the given version.
 func reply(rows int, version rowversion.Version) func() (tablecache.Batch, error) {
@@ -79,6 +94,14 @@
 	return func() (tablecache.Batch, error) { return tablecache.Batch{}, err }
 }
 
+// after returns a step that takes a time.
+func after(delay time.Duration, step func() (tablecache.Batch, error)) func() (tablecache.Batch, error) {
+	return func() (tablecache.Batch, error) {
+		time.Sleep(delay)
+		return step()
+	}
+}
+
 // testBound is the time within which a change must be known in these tests.
 const testBound = 400 * time.Millisecond
 
@@ -149,3 +172,30 @@
 		t.Errorf("%d calls after %v, want a new one after %v", feed.callCount(), took, maxLag)
 	}
 }
+
+// TestHeldCallIsNoOutage guards against an outage that is assumed because the calls of an instance that no other relies on
+// take longer than the bound: targets that are gone would be used for longer than they may.
+func TestHeldCallIsNoOutage(t *testing.T) {
+	for name, held := range map[string]func() (tablecache.Batch, error){
+		"changes":      after(2*testBound, reply(1, 6)),
+		"history lost": after(2*testBound, fail(ErrHistoryLost)),
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			feed := &scriptedFeed{steps: []func() (tablecache.Batch, error){reply(2, 5), held, reply(2, 7)}}
+			observer := &recorder{}
+			ctx, cancel := context.WithCancel(context.Background())
+			done := make(chan struct{})
+			go func() {
+				newReader(feed).Run(ctx, observer)
+				close(done)
+			}()
+			awaitCalls(t, feed, 4)
+			cancel()
+			<-done
+			if !observer.last.ReturnedAt.IsZero() {
+				t.Error("an outage is assumed")
+			}
+		})
+	}
+}
