Let begun streams wait for engines that ask for time

Cause: a stream that has begun was broken off at once if all first engines asked for time, the same cause as with refusals.

Change: only streams that have not begun end then; they are refused. The method maxSends, which hid the constant of that name, is sendLimit.

Evidence: TestBegunStreamOutlastsRefusals, "refused for time", fails without the change and passes with it.

--- a/internal/edge/begun_test.go
+++ b/internal/edge/begun_test.go
@@ -21,32 +21,46 @@
 	return first, got
 }
 
-// TestBegunStreamOutlastsRefusals guards against streams that are broken off in the middle because engines refuse
-// them a few times, for instance while they load layers, although the caller still waits.
+// TestBegunStreamOutlastsRefusals guards against streams that are broken off in the middle because engines refuse them a few
+// times, for instance while they load layers, or all ask for time, although the caller still waits.
 func TestBegunStreamOutlastsRefusals(t *testing.T) {
 	t.Parallel()
-	d := newDeployment(t)
-	daemon := d.addDaemonAndAwaitPlacement()
-	_, got := d.streamThatStalls(daemon)
-	for _, engine := range d.engines {
-		engine.SetFaults(edgeplatform.TargetFaults{Refuse: true})
+	for name, test := range map[string]struct {
+		faults edgeplatform.TargetFaults
+		// refusals is how often the stream is refused before the engines take it again.
+		refusals int
+	}{
+		"refused":          {edgeplatform.TargetFaults{Refuse: true}, 3},
+		"refused for time": {edgeplatform.TargetFaults{RefuseFor: time.Second}, 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			d := newDeployment(t)
+			daemon := d.addDaemonAndAwaitPlacement()
+			_, got := d.streamThatStalls(daemon)
+			for _, engine := range d.engines {
+				engine.SetFaults(test.faults)
+			}
+			d.waitUntil("engines have refused the stream", func() bool { return d.arrivalsOf("begun") >= 1+test.refusals })
+			time.Sleep(200 * time.Millisecond)
+			for _, engine := range d.engines {
+				engine.SetFaults(edgeplatform.TargetFaults{})
+			}
+			d.checkWholeStream(<-got)
+		})
 	}
-	d.waitUntil("engines have refused the stream three times", func() bool {
-		arrivals := 0
-		for _, engine := range d.engines {
-			for _, arrival := range engine.Arrivals() {
-				if arrival.RequestID == "begun" {
-					arrivals++
-				}
+}
+
+// arrivalsOf returns how often a request has arrived at engines.
+func (d *deployment) arrivalsOf(id string) (arrivals int) {
+	for _, engine := range d.engines {
+		for _, arrival := range engine.Arrivals() {
+			if arrival.RequestID == id {
+				arrivals++
 			}
 		}
-		return arrivals >= 1+3
-	})
-	time.Sleep(200 * time.Millisecond)
-	for _, engine := range d.engines {
-		engine.SetFaults(edgeplatform.TargetFaults{})
 	}
-	d.checkWholeStream(<-got)
+	return arrivals
 }
 
 // TestBegunStreamWaitsForEngines guards against streams that are broken off in the middle because for more than a second
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -97,7 +97,7 @@
 		if done {
 			return
 		}
-		if !retry || s.mayCrashEngines() || !q.hasTime(ctx) || q.sends >= s.maxSends() || !q.takeRetry() {
+		if !retry || s.mayCrashEngines() || !q.hasTime(ctx) || q.sends >= s.sendLimit() || !q.takeRetry() {
 			break
 		}
 	}
@@ -191,8 +191,8 @@
 	return s.handleInterruption(ctx, err)
 }
 
-// maxSends returns the maximum number of attempts, including those that engines rejected without running them.
-func (s *stream) maxSends() int {
+// sendLimit returns the maximum number of attempts, including those that engines rejected without running them.
+func (s *stream) sendLimit() int {
 	if s.headWritten {
 		return maxBegunSends
 	}
@@ -200,15 +200,15 @@
 }
 
 // awaitPath returns a reserved path. If engines are missing or have just refused the stream, it waits up to pathTimeout
-// or begunPathTimeout for a path, and returns nil if it finds none. It does not wait for first engines that all asked for
-// time.
+// or begunPathTimeout for a path, and returns nil if it finds none. A stream that has not begun does not wait for first
+// engines that all asked for time.
 func (s *stream) awaitPath(ctx context.Context) *dispatch.Path {
 	timeout := pathTimeout
 	if s.headWritten {
 		timeout = begunPathTimeout
 	}
 	for waited := time.Duration(0); ; waited += pathRetryInterval {
-		if path := s.choosePath(); path != nil || waited >= timeout || ctx.Err() != nil || s.allBackOff() {
+		if path := s.choosePath(); path != nil || waited >= timeout || ctx.Err() != nil || !s.headWritten && s.allBackOff() {
 			return path
 		}
 		// An engine that refused may have capacity again, and there may be no other.
