--- a/internal/watch/watch_test.go
+++ b/internal/watch/watch_test.go
@@ -183,16 +183,8 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			feed := &scriptedFeed{steps: []func() (tablecache.Batch, error){reply(2, 5), held, reply(2, 7)}}
-			observer := &recorder{}
-			ctx, cancel := context.WithCancel(context.Background())
-			done := make(chan struct{})
-			go func() {
-				newReader(feed).Run(ctx, observer)
-				close(done)
-			}()
-			awaitCalls(t, feed, 4)
-			cancel()
-			<-done
+			observer := run(t, newReader(feed))
+			awaitCalls(t, feed, 4) // the last one begins after the last change
 			if !observer.last.ReturnedAt.IsZero() {
 				t.Error("an outage is assumed")
 			}
