Log and count why begun streams are given up

Change: "request ended" has idleMs and gaveUp, "stream interrupted" has idleMs and cancelled, "stalled attempt cancelled" is new, and hyssophoist_edge_broken_streams_total counts begun streams that are closed, by reason. No change of logic.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -91,7 +91,8 @@
 func newGateway(s *settings.Edge, pool *connpool.Pool, engines *platform.EngineClient, m *Metrics) *gateway.Gateway {
 	return gateway.New(gateway.Options{
 		Zone: entity.ZoneID(s.Zone), Codec: platform.Codec{}, Pool: pool, OnRequestEnd: m.observeRequest, Engines: engines,
-		FirstStart: s.FirstStart, BodyMemory: int64(float64(s.MemoryMB) * bodyMemoryRatio * (1 << 20)),
+		OnStreamBroken: func(reason string) { m.BrokenStreams.WithLabelValues(reason).Inc() },
+		FirstStart:     s.FirstStart, BodyMemory: int64(float64(s.MemoryMB) * bodyMemoryRatio * (1 << 20)),
 		RetryLimit: retry.Limit{Ratio: s.Retries.Ratio, Slack: s.Retries.Slack, Span: time.Duration(s.Retries.Span)},
 	})
 }
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -21,6 +21,8 @@
 	Requests *prometheus.CounterVec
 	// Duration is the time from arrival to completion of a request by kind of route.
 	Duration *prometheus.HistogramVec
+	// BrokenStreams counts begun streams that were closed before their end, by the reason why no further attempt was made.
+	BrokenStreams *prometheus.CounterVec
 	// Dials counts connections opened to targets.
 	Dials prometheus.Counter
 	// Orders counts orders sent to engines by outcome.
@@ -44,6 +46,10 @@
 			Name: "hyssophoist_edge_request_seconds", Help: "Time from arrival to the end of a request.",
 			Buckets: prometheus.ExponentialBuckets(0.01, 2, 12),
 		}, []string{"kind"}),
+		BrokenStreams: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "hyssophoist_edge_broken_streams_total",
+			Help: "Begun streams closed before their end by the reason why no further attempt was made.",
+		}, []string{"reason"}),
 		Dials: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "hyssophoist_edge_dials_total", Help: "Connections opened to targets.",
 		}),
@@ -61,7 +67,7 @@
 			Name: "hyssophoist_edge_configuration_version", Help: "Version of the configuration in force.",
 		}),
 	}
-	m.registry.MustRegister(m.Requests, m.Duration, m.Dials, m.Orders, m.StoreErrors,
+	m.registry.MustRegister(m.Requests, m.Duration, m.BrokenStreams, m.Dials, m.Orders, m.StoreErrors,
 		m.UnansweredConnections, m.ConfigurationVersion, collectors.NewGoCollector())
 	return m
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -61,6 +61,9 @@
 	BodyMemory int64
 	// OnRequestEnd, if set, is called at the end of each request.
 	OnRequestEnd func(kind, result string, duration time.Duration)
+	// OnStreamBroken, if set, is called when a begun stream is closed before its end, with the reason why no further
+	// attempt was made.
+	OnStreamBroken func(reason string)
 }
 
 // Gateway is an HTTP handler that serves callers. It is safe for concurrent use.
@@ -220,6 +223,9 @@
 type streamStats struct {
 	events, reroutes         int
 	firstEvent, longestPause time.Duration
+	// idle is the time without an event until the stream ended, gaveUp why no further attempt was made.
+	idle   time.Duration
+	gaveUp giveUpReason
 }
 
 // ServeHTTP implements http.Handler.
@@ -428,7 +434,8 @@
 	if result == resultOK {
 		log.Routine("request ended", fields...)
 	} else {
-		log.Event("request ended", append(fields, "parts", strings.Join(q.PromptParts, ","))...)
+		log.Event("request ended", append(fields, "idleMs", stats.idle.Milliseconds(), "gaveUp", string(stats.gaveUp),
+			"parts", strings.Join(q.PromptParts, ","))...)
 	}
 	if q.gateway.options.OnRequestEnd != nil {
 		q.gateway.options.OnRequestEnd(kind, result, duration)
--- /dev/null
+++ b/internal/gateway/giveup.go
@@ -0,0 +1,62 @@
+package gateway
+
+import (
+	"context"
+	"time"
+)
+
+// giveUpReason is why no further attempt of a stream was made.
+type giveUpReason string
+
+const (
+	attemptsUsed     giveUpReason = "attempts"    // it may not run again
+	sendsUsed        giveUpReason = "sends"       // it was sent maxSends or maxBegunSends times
+	retryLimitUsed   giveUpReason = "retry_limit" // the instance's share of the retry limit is used up
+	noPathFound      giveUpReason = "no_path"
+	partsQuarantined giveUpReason = "quarantine"
+	timePassed       giveUpReason = "time"   // its time has passed, or the grace time of a stop
+	callerLeft       giveUpReason = "caller" // the caller has disconnected
+)
+
+// timeReason distinguishes the reasons for which the context of the request's attempts has ended.
+func (s *stream) timeReason() giveUpReason {
+	if s.Request.Context().Err() != nil {
+		return callerLeft
+	}
+	return timePassed
+}
+
+// admitRetry takes the retry of a further attempt, or returns why there is none. retry reports whether the last attempt
+// allows one.
+func (s *stream) admitRetry(ctx context.Context, retry bool) giveUpReason {
+	switch {
+	case !s.hasTime(ctx):
+		return s.timeReason()
+	case s.gaveUp != "":
+		return s.gaveUp
+	case !retry:
+		return attemptsUsed
+	case s.mayCrashEngines():
+		return partsQuarantined
+	case s.sends >= s.sendLimit():
+		return sendsUsed
+	case !s.takeRetry():
+		return retryLimitUsed
+	}
+	return ""
+}
+
+// idle returns the time since the last event, or since the arrival of the request if there was none.
+func (s *stream) idle() time.Duration {
+	if s.events == 0 {
+		return time.Since(s.arrivedAt)
+	}
+	return time.Since(s.lastEventTime)
+}
+
+// recordBroken passes the end of a begun stream that is not complete to Options.OnStreamBroken.
+func (g *Gateway) recordBroken(reason giveUpReason) {
+	if g.options.OnStreamBroken != nil {
+		g.options.OnStreamBroken(string(reason))
+	}
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -71,6 +71,8 @@
 	// between two events.
 	firstEventDelay, longestPause time.Duration
 	lastEventTime                 time.Time
+	// gaveUp is why no further attempt was made; empty while one may follow.
+	gaveUp giveUpReason
 }
 
 // serveStream serves a request whose response is forwarded event by event. A stream that is interrupted is resumed on
@@ -83,7 +85,7 @@
 	q.stats = func() streamStats {
 		return streamStats{
 			events: s.events, reroutes: int(s.reroutes.Load()),
-			firstEvent: s.firstEventDelay, longestPause: s.longestPause,
+			firstEvent: s.firstEventDelay, longestPause: s.longestPause, idle: s.idle(), gaveUp: s.gaveUp,
 		}
 	}
 	if q.service.Engine == nil {
@@ -97,10 +99,13 @@
 		if done {
 			return
 		}
-		if !retry || s.mayCrashEngines() || !q.hasTime(ctx) || q.sends >= s.sendLimit() || !q.takeRetry() {
+		if s.gaveUp = s.admitRetry(ctx, retry); s.gaveUp != "" {
 			break
 		}
 	}
+	if s.gaveUp == "" {
+		s.gaveUp = s.timeReason()
+	}
 	s.endFailed(ctx)
 }
 
@@ -108,6 +113,7 @@
 func (s *stream) endFailed(ctx context.Context) {
 	switch {
 	case s.headWritten:
+		s.gateway.recordBroken(s.gaveUp)
 		s.recordEnd(string(s.failureKind(ctx)), "200")
 		// Closes the connection, so that the caller does not take the partial response for a complete one.
 		panic(http.ErrAbortHandler)
@@ -122,6 +128,7 @@
 
 // endCanceled ends a stream whose caller has disconnected, or has closed its sending side and still reads.
 func (s *stream) endCanceled(err error) {
+	s.gaveUp = callerLeft
 	if s.headWritten {
 		s.recordEnd(string(errkind.Canceled), "200")
 		panic(http.ErrAbortHandler) // as in endFailed
@@ -137,15 +144,17 @@
 // is allowed.
 func (s *stream) runAttempt(ctx context.Context) (done, retry bool) {
 	if s.quarantined() {
+		s.gaveUp = partsQuarantined
 		return false, false
 	}
 	path := s.awaitPath(ctx)
 	if path == nil {
-		s.lastErr, s.lastKind = errNoPath, errkind.NoCapacity
+		s.lastErr, s.lastKind, s.gaveUp = errNoPath, errkind.NoCapacity, noPathFound
 		return false, false
 	}
 	defer s.release()
 	if s.quarantined() { // others may have reported crashes during the wait
+		s.gaveUp = partsQuarantined
 		return false, false
 	}
 	s.sends++
@@ -419,6 +428,7 @@
 		s.recordFault("", err.Error())
 	}
 	log.Event("stream interrupted", "request", s.ID, "events", s.events, "lastEvent", s.lastEventID,
+		"idleMs", s.idle().Milliseconds(), "cancelled", s.watchdog.hasCancelled(),
 		"path", formatPath(s.currentPath()), "reason", s.lastErr.Error(), "resume", s.mayRunAgain(),
 		"parts", strings.Join(s.PromptParts, ","))
 	return false, s.mayRunAgain()
--- a/internal/gateway/watchdog.go
+++ b/internal/gateway/watchdog.go
@@ -61,8 +61,8 @@
 	meanGap     time.Duration
 	hasArrival  bool
 	// faulty holds the engines because of which the attempt was cancelled.
-	faulty  []fleet.Target
-	stopped bool
+	faulty             []fleet.Target
+	cancelled, stopped bool
 	// waiting reports whether the attempt is kept although engines of its path are faulty.
 	waiting bool
 	// writingSince is when the writing of an event to the caller began; zero if none is being written.
@@ -133,8 +133,10 @@
 		stall.Replaceable = w.attempt.reserveRetry()
 	}
 	if stall.Cancel() {
+		log.Event("stalled attempt cancelled", "request", w.attempt.requestID, "ms", idle.Milliseconds(),
+			"silent", stall.Silent, "ended", stall.Gone, "replaceable", stall.Replaceable)
 		w.mu.Lock()
-		w.faulty = faulty
+		w.faulty, w.cancelled = faulty, true
 		w.mu.Unlock()
 		w.attempt.cancel()
 		return
@@ -202,6 +204,13 @@
 	w.lastArrival, w.hasArrival = time.Now(), false
 }
 
+// hasCancelled reports whether the watchdog has cancelled the attempt.
+func (w *watchdog) hasCancelled() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.cancelled
+}
+
 // stop stops the watchdog and returns the engines because of which the attempt was cancelled.
 func (w *watchdog) stop() []fleet.Target {
 	w.mu.Lock()
