Keep the last attempt of a begun stream while its engine is silent

The callers would have waited for 2 s or more.

Cause: an attempt that no other may follow, by the attempts of its route, the sends or the limit of retries, was cancelled after 1.8 s of silence. For a stream that has begun that can only close the connection: nobody gains, and a silent engine may be sound.

Change: dispatch.Stall knows whether the caller has got events; the last attempt of a begun stream is cancelled only if the process of an engine has ended. A stream that has not begun gets its answer after 1.8 s as before, so that the caller can retry.

Evidence: TestLastAttemptOfBegunStreamIsKept fails without the change in both cases (after 4.3 s: the stream is closed in the middle) and passes with it.

--- a/core/dispatch/stall.go
+++ b/core/dispatch/stall.go
@@ -12,12 +12,13 @@
 	Idle, Limit time.Duration
 	// Silent reports whether engines of the path do not answer, Gone whether the process of one has ended.
 	Silent, Gone bool
-	// Replaceable reports whether another attempt may follow.
-	Replaceable bool
+	// Replaceable reports whether another attempt may follow, Begun whether the caller has got events.
+	Replaceable, Begun bool
 }
 
-// Cancel reports whether to cancel the attempt. One that no other may follow is the caller's last chance, so it is kept
-// while the silent engine may be sound.
+// Cancel reports whether to cancel the attempt. One that no other may follow is the caller's last chance. If the caller
+// has got events, the end of that attempt could only close the connection, so it is kept until an engine is known to have
+// ended. Otherwise it is kept while the silent engine may be sound; the caller then gets an answer and can retry.
 func (s Stall) Cancel() bool {
 	switch {
 	case s.Gone:
@@ -25,14 +26,18 @@
 	case s.Replaceable:
 		return s.Silent || s.Idle >= s.Limit
 	default:
-		return s.Silent && s.Idle >= fleet.SilenceLimit
+		return !s.Begun && s.Silent && s.Idle >= fleet.SilenceLimit
 	}
 }
 
-// Wait returns the time until Cancel may report true without a change of the engines.
-func (s Stall) Wait() time.Duration {
-	if s.Replaceable {
-		return s.Limit - s.Idle
+// Wait returns the time until Cancel may report true without a change of the engines, or false if it will not.
+func (s Stall) Wait() (wait time.Duration, limited bool) {
+	switch {
+	case s.Replaceable:
+		return s.Limit - s.Idle, true
+	case s.Begun:
+		return 0, false
+	default:
+		return fleet.SilenceLimit - s.Idle, true
 	}
-	return fleet.SilenceLimit - s.Idle
 }
--- a/core/dispatch/stall_test.go
+++ b/core/dispatch/stall_test.go
@@ -22,6 +22,8 @@
 		{"silent engine", Stall{Idle: 300 * time.Millisecond, Limit: limit, Silent: true, Replaceable: true}, true},
 		{"silent engine, no other attempt", Stall{Idle: 1500 * time.Millisecond, Limit: limit, Silent: true}, false},
 		{"engine silent for too long, no other attempt", Stall{Idle: fleet.SilenceLimit, Limit: limit, Silent: true}, true},
+		{"engine silent for too long, no other attempt, begun", Stall{Idle: 10 * fleet.SilenceLimit, Limit: limit, Silent: true, Begun: true}, false},
+		{"ended engine, no other attempt, begun", Stall{Idle: 300 * time.Millisecond, Limit: limit, Silent: true, Gone: true, Begun: true}, true},
 		{"ended engine, no other attempt", Stall{Idle: 300 * time.Millisecond, Limit: limit, Silent: true, Gone: true}, true},
 	} {
 		if got := test.stall.Cancel(); got != test.want {
--- a/internal/edge/begun_test.go
+++ b/internal/edge/begun_test.go
@@ -93,6 +93,40 @@
 	d.checkWholeStream(<-got)
 }
 
+// TestLastAttemptOfBegunStreamIsKept guards against begun streams that are closed because their engine is silent, although
+// no other attempt may follow and the caller still waits.
+func TestLastAttemptOfBegunStreamIsKept(t *testing.T) {
+	t.Parallel()
+	const silence = 2500 * time.Millisecond
+	silent := edgeplatform.TargetFaults{SilentFor: silence, SilentAfter: 9}
+	for name, test := range map[string]struct {
+		noRetries bool
+		first     edgeplatform.TargetFaults
+	}{
+		"retry limit used up": {noRetries: true, first: silent},
+		"attempts used up":    {first: edgeplatform.TargetFaults{BreakAfter: 5, SilentFor: silence, SilentAfter: 9}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			d := newDeployment(t)
+			daemon := d.addDaemonAndAwaitPlacement()
+			if test.noRetries {
+				daemon = d.addDaemonWithoutRetries("a")
+			}
+			for _, engine := range d.engines {
+				engine.SetFaults(test.first)
+			}
+			got := make(chan result, 1)
+			go func() { got <- d.stream(daemon, "begun") }()
+			d.waitUntil("the stream runs", func() bool { return len(d.runsOf("begun")) > 0 })
+			for _, engine := range d.engines {
+				engine.UpdateFaults(func(f *edgeplatform.TargetFaults) { f.BreakAfter = 0 })
+			}
+			d.checkWholeStream(<-got)
+		})
+	}
+}
+
 // checkWholeStream fails the test unless the result is that of a whole stream.
 func (d *deployment) checkWholeStream(got result) {
 	d.t.Helper()
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -168,6 +168,7 @@
 		requestID: s.ID, targets: s.targets, targetsWithoutProgress: s.targetsWithoutProgress,
 		stallTimeout: s.stallTimeout, replaceable: func() bool { return resumable && s.replaceable(sends) },
 		reserveRetry: func() bool { return s.reserveRetry(attemptCtx) }, reroute: s.reroute, cancel: cancel,
+		begun: s.eventForwarded.Load,
 	})
 	defer s.watchdog.stop()
 	sent := time.Now()
--- a/internal/gateway/watchdog.go
+++ b/internal/gateway/watchdog.go
@@ -39,6 +39,8 @@
 	// follow, which replaceable reports.
 	stallTimeout func() time.Duration
 	replaceable  func() bool
+	// begun reports whether the caller has got a part of the response.
+	begun func() bool
 	// reserveRetry takes a retry for the attempt that is to follow, and reports whether one was left.
 	reserveRetry func() bool
 	// reroute tries to continue the attempt without the faulty engines.
@@ -126,7 +128,7 @@
 	}
 	stall := dispatch.Stall{
 		Idle: idle, Limit: w.attempt.stallTimeout(), Silent: len(faulty) > 0, Gone: gone,
-		Replaceable: w.attempt.replaceable(),
+		Replaceable: w.attempt.replaceable(), Begun: w.attempt.begun(),
 	}
 	if stall.Cancel() && stall.Replaceable {
 		// Many streams may have to be retried at the same time.
@@ -147,7 +149,11 @@
 			"ms", idle.Milliseconds())
 	}
 	// Checks less often the longer no event arrives, but not later than the limit.
-	w.resetTimer(min(max(minRecheckDelay, idle/2), max(minRecheckDelay, stall.Wait())))
+	recheck := max(minRecheckDelay, idle/2)
+	if wait, limited := stall.Wait(); limited {
+		recheck = min(recheck, max(minRecheckDelay, wait))
+	}
+	w.resetTimer(recheck)
 }
 
 // findFaulty returns the engines that are found to be faulty after no event has arrived for the time idle, and whether
--- a/internal/gateway/watchdog_test.go
+++ b/internal/gateway/watchdog_test.go
@@ -121,7 +121,7 @@
 					faulty = targets
 					return canReroute
 				},
-				cancel: func() { cancelled = true },
+				cancel: func() { cancelled = true }, begun: func() bool { return true },
 			},
 		}
 		w.check(context.Background())
@@ -146,7 +146,7 @@
 			attempt: watchedAttempt{
 				requestID: "s", stallTimeout: func() time.Duration { return time.Minute },
 				replaceable: func() bool { return true }, reserveRetry: func() bool { return retryLeft },
-				cancel: func() { cancelled = true },
+				cancel: func() { cancelled = true }, begun: func() bool { return true },
 			},
 		}
 		w.cancelOrWait([]fleet.Target{{ID: "silent"}}, false)
