Let begun streams wait for a retry

Cause: the retry limit was asked once. A stream that has not begun can be refused truthfully; one that has begun can only be closed.

Change: a begun stream asks again every 100 ms, for 3 s at most, as it already does for a path.

Evidence: TestBegunStreamWaitsForRetry fails without the change (the stream is closed after five events) and passes with it.

--- a/internal/edge/begun_test.go
+++ b/internal/edge/begun_test.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"fmt"
 	"net/http"
 	"slices"
 	"testing"
@@ -127,6 +128,30 @@
 	}
 }
 
+// TestBegunStreamWaitsForRetry guards against begun streams that are closed because the retry limit is used up when their
+// engine breaks off, although a retry is left a moment later.
+func TestBegunStreamWaitsForRetry(t *testing.T) {
+	t.Parallel()
+	const ratio, others = 0.2, 10
+	d := newDeployment(t)
+	d.addDaemonAndAwaitPlacement()
+	daemon := d.addDaemonWithRetryRatio("a", ratio)
+	for _, engine := range d.engines {
+		engine.SetFaults(edgeplatform.TargetFaults{BreakAfter: 5})
+	}
+	got := make(chan result, 1)
+	go func() { got <- d.stream(daemon, "begun") }()
+	d.waitUntil("the stream runs", func() bool { return len(d.runsOf("begun")) > 0 })
+	for _, engine := range d.engines {
+		engine.SetFaults(edgeplatform.TargetFaults{})
+	}
+	time.Sleep(500 * time.Millisecond)
+	for i := range others {
+		d.stream(daemon, fmt.Sprint("other-", i))
+	}
+	d.checkWholeStream(<-got)
+}
+
 // checkWholeStream fails the test unless the result is that of a whole stream.
 func (d *deployment) checkWholeStream(got result) {
 	d.t.Helper()
--- a/internal/edge/silence_test.go
+++ b/internal/edge/silence_test.go
@@ -58,9 +58,15 @@
 
 // addDaemonWithoutRetries starts a daemon that may send no request a second time.
 func (d *deployment) addDaemonWithoutRetries(zone string) *Daemon {
+	d.t.Helper()
+	return d.addDaemonWithRetryRatio(zone, 0)
+}
+
+// addDaemonWithRetryRatio starts a daemon that may send ratio retries for each request of ten seconds.
+func (d *deployment) addDaemonWithRetryRatio(zone string, ratio float64) *Daemon {
 	d.t.Helper()
 	s := d.daemonSettings(zone)
-	s.Retries = settings.Retries{Span: settings.Duration(10 * time.Second)}
+	s.Retries = settings.Retries{Ratio: ratio, Span: settings.Duration(10 * time.Second)}
 	daemon := d.startDaemon(s)
 	d.waitUntil("daemon is ready", func() bool { return daemon.notReadyReason() == "" })
 	d.waitUntil("the daemon knows the layers of all engines", func() bool { return daemon.knownLayers() == 2*modelLayers })
--- a/internal/gateway/giveup.go
+++ b/internal/gateway/giveup.go
@@ -40,10 +40,33 @@
 		return partsQuarantined
 	case s.sends >= s.sendLimit():
 		return sendsUsed
-	case !s.takeRetry():
-		return retryLimitUsed
+	case s.awaitRetry(ctx):
+		return ""
+	case !s.hasTime(ctx):
+		return s.timeReason()
+	}
+	return retryLimitUsed
+}
+
+// awaitRetry takes a retry and reports whether one was left. A stream that has begun waits for one up to begunWait.
+func (s *stream) awaitRetry(ctx context.Context) bool {
+	for waited := time.Duration(0); !s.takeRetry(); waited += waitInterval {
+		if !s.headWritten || waited >= begunWait || ctx.Err() != nil {
+			return false
+		}
+		sleep(ctx, waitInterval)
+	}
+	return true
+}
+
+// sleep waits for d or until ctx ends.
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
 	}
-	return ""
 }
 
 // idle returns the time since the last event, or since the arrival of the request if there was none.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -26,12 +26,12 @@
 	firstEventTimeout = 1500 * time.Millisecond
 	eventTimeout      = 1200 * time.Millisecond
 	// pathTimeout bounds the wait for a path while layers are missing: other engines load them in about a second, and a
-	// refused caller retries only once. pathRetryInterval is the interval between two tries to find a path.
-	pathTimeout       = time.Second
-	pathRetryInterval = 100 * time.Millisecond
-	// begunPathTimeout and maxBegunSends replace pathTimeout and maxSends for a stream that has begun: it can no longer be
-	// refused, and callers wait for its next event for two seconds or more.
-	begunPathTimeout = 3 * time.Second
+	// refused caller retries only once. waitInterval is the interval between two tries to find a path or take a retry.
+	pathTimeout  = time.Second
+	waitInterval = 100 * time.Millisecond
+	// begunWait bounds each wait of a stream that has begun, for a path or for a retry, and maxBegunSends replaces maxSends
+	// for it: it can no longer be refused, and callers wait for its next event for two seconds or more.
+	begunWait        = 3 * time.Second
 	maxBegunSends    = 16
 	eventBufferBytes = 2 << 10
 	// maxRefusalTime distinguishes an engine that refuses for a reason of its own, which it does at once, from one that
@@ -210,14 +210,14 @@
 }
 
 // awaitPath returns a reserved path. If engines are missing or have just refused the stream, it waits up to pathTimeout
-// or begunPathTimeout for a path, and returns nil if it finds none. A stream that has not begun does not wait for first
+// or begunWait for a path, and returns nil if it finds none. A stream that has not begun does not wait for first
 // engines that all asked for time.
 func (s *stream) awaitPath(ctx context.Context) *dispatch.Path {
 	timeout := pathTimeout
 	if s.headWritten {
-		timeout = begunPathTimeout
+		timeout = begunWait
 	}
-	for waited := time.Duration(0); ; waited += pathRetryInterval {
+	for waited := time.Duration(0); ; waited += waitInterval {
 		if path := s.choosePath(); path != nil || waited >= timeout || ctx.Err() != nil || !s.headWritten && s.allBackOff() {
 			return path
 		}
@@ -225,12 +225,7 @@
 		s.gateway.mu.Lock()
 		clear(s.avoid)
 		s.gateway.mu.Unlock()
-		timer := time.NewTimer(pathRetryInterval)
-		select {
-		case <-timer.C:
-		case <-ctx.Done():
-			timer.Stop()
-		}
+		sleep(ctx, waitInterval)
 	}
 }
 
