Do not count attempts that were not sent towards the retry limit

Cause: each further attempt took a retry, also after one that was not sent. The users' limit counts what arrives at targets.

Change: the retry of an attempt that was not sent stays reserved for the next one, for streams and plain calls.

Evidence: TestUnsentAttemptTakesNoRetry fails without the change (a posting and a stream get 503, not run) and passes with it.

--- a/internal/edge/silence_test.go
+++ b/internal/edge/silence_test.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"fmt"
 	"net/http"
 	"testing"
 	"time"
@@ -56,6 +57,31 @@
 	}
 }
 
+// TestUnsentAttemptTakesNoRetry guards against requests that are refused for want of a retry although they have reached no
+// target yet.
+func TestUnsentAttemptTakesNoRetry(t *testing.T) {
+	t.Parallel()
+	d := newDeployment(t)
+	d.addDaemonAndAwaitPlacement()
+	daemon := d.addDaemonWithoutRetries("a")
+	d.plain[0].Close()
+	d.engines[0].Close()
+	for i := range 6 {
+		id := fmt.Sprint("p", i)
+		if got := d.call(daemon, http.MethodPost, "/post/1", id, "key-1", "x"); got.status != http.StatusOK {
+			t.Errorf("posting: %+v", got)
+		}
+		if runs := d.runsOf(id); len(runs) != 1 {
+			t.Errorf("posting ran %d times", len(runs))
+		}
+	}
+	got := d.stream(daemon, "s")
+	if got.status != http.StatusOK || got.err != nil {
+		t.Fatalf("stream: %+v", got)
+	}
+	checkEvents(t, got.body)
+}
+
 // addDaemonWithoutRetries starts a daemon that may send no request a second time.
 func (d *deployment) addDaemonWithoutRetries(zone string) *Daemon {
 	d.t.Helper()
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -115,9 +115,11 @@
 	}
 	switch {
 	case errors.Is(err, errBackedOff):
+		q.keepRetry()
 		q.lastErr, q.lastKind = err, errkind.Overloaded
 		return nil, true
 	case errors.Is(err, errNotSent):
+		q.keepRetry()
 		q.recordAttemptFailure(target.ID, errkind.NoCapacity, err)
 		return nil, true
 	case err != nil:
--- a/internal/gateway/retries.go
+++ b/internal/gateway/retries.go
@@ -57,6 +57,14 @@
 	return !q.limited
 }
 
+// keepRetry reserves the retry of an attempt that was not sent for the next one: only what arrives at a target counts
+// towards the limit.
+func (q *request) keepRetry() {
+	q.gateway.mu.Lock()
+	defer q.gateway.mu.Unlock()
+	q.retryReserved = true
+}
+
 // retryState returns the retry window of a service, and the time and number of instances to pass to it. The caller
 // holds g.mu.
 func (g *Gateway) retryState(service entity.ServiceID) (window *retry.Window, now time.Duration, instances int) {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -404,10 +404,12 @@
 		return true, false
 	}
 	if errors.Is(err, errBackedOff) {
+		s.keepRetry()
 		s.lastKind = errkind.Overloaded
 		return false, true
 	}
 	if errors.Is(err, errNotSent) {
+		s.keepRetry()
 		s.lastKind = errkind.NoCapacity
 		s.recordFault(s.currentPath().Stages[0].Target.Address, err.Error())
 		return false, true
