Reserve the next path before a live attempt is cancelled

Cause: an attempt that another might follow, by attempts and retries, was cancelled as soon as an engine gave no report for 0.1 to 0.3 s. Whether there was a path to follow it on was asked only afterwards.

Change: the watchdog takes the retry and the path together before it cancels, and keeps the attempt if one of them is missing. Before the stall timeout a path counts only if none of its engines is suspected. An attempt whose engine's process has ended is cancelled as before.

Evidence: TestAttemptIsKeptWithoutOtherPath fails without the change (2 runs instead of 1) and passes with it.

--- a/internal/edge/begun_test.go
+++ b/internal/edge/begun_test.go
@@ -152,6 +152,36 @@
 	d.checkWholeStream(<-got)
 }
 
+// TestAttemptIsKeptWithoutOtherPath guards against an attempt that is cancelled for a silence of its engine although there is
+// no other path.
+func TestAttemptIsKeptWithoutOtherPath(t *testing.T) {
+	t.Parallel()
+	d := newDeployment(t)
+	daemon := d.addDaemonAndAwaitPlacement()
+	first, second := d.findPath(daemon)
+	for _, engine := range d.engines {
+		if engine != first && engine != second {
+			d.register(engine, "draining")
+		}
+	}
+	d.waitUntil("the daemon knows who leaves", func() bool { return daemon.knownLayers() == 2*modelLayers && d.countDraining(daemon) == 2 })
+	first.SetFaults(edgeplatform.TargetFaults{SilentFor: 1500 * time.Millisecond, SilentAfter: 5})
+	d.checkWholeStream(d.stream(daemon, "begun"))
+	if runs := d.runsOf("begun"); len(runs) != 1 {
+		t.Errorf("%d runs, the engine would have gone on with the first", len(runs))
+	}
+}
+
+// countDraining returns how many engines leave according to the daemon.
+func (d *deployment) countDraining(daemon *Daemon) (count int) {
+	for _, engine := range d.engines {
+		if daemon.target(engine.ID).Draining {
+			count++
+		}
+	}
+	return count
+}
+
 // checkWholeStream fails the test unless the result is that of a whole stream.
 func (d *deployment) checkWholeStream(got result) {
 	d.t.Helper()
--- /dev/null
+++ b/internal/gateway/nextpath.go
@@ -0,0 +1,97 @@
+package gateway
+
+import (
+	"context"
+	"maps"
+	"time"
+
+	"github.com/hyssophoist/hyssophoist/core/dispatch"
+	"github.com/hyssophoist/hyssophoist/core/entity"
+	"github.com/hyssophoist/hyssophoist/core/fleet"
+	"github.com/hyssophoist/hyssophoist/internal/boottime"
+)
+
+// awaitPath returns a reserved path. If engines are missing or have just refused the stream, it waits up to pathTimeout
+// or begunWait for a path, and returns nil if it finds none. A stream that has not begun does not wait for first
+// engines that all asked for time.
+func (s *stream) awaitPath(ctx context.Context) *dispatch.Path {
+	timeout := pathTimeout
+	if s.headWritten {
+		timeout = begunWait
+	}
+	for waited := time.Duration(0); ; waited += waitInterval {
+		if path := s.choosePath(); path != nil || waited >= timeout || ctx.Err() != nil || !s.headWritten && s.allBackOff() {
+			return path
+		}
+		// An engine that refused may have capacity again, and there may be no other.
+		s.gateway.mu.Lock()
+		clear(s.avoid)
+		s.gateway.mu.Unlock()
+		sleep(ctx, waitInterval)
+	}
+}
+
+// choosePath returns the path of an attempt: the one that reserveNext has reserved, or one that it chooses and reserves.
+func (s *stream) choosePath() *dispatch.Path {
+	s.gateway.mu.Lock()
+	defer s.gateway.mu.Unlock()
+	if s.next != nil {
+		s.path, s.next = s.next, nil
+		return s.path
+	}
+	s.path = s.gateway.dispatcher.ChoosePath(boottime.Now(), s.service, s.size, s.avoid)
+	return s.path
+}
+
+// reserveNext takes a retry and a path for the attempt that is to follow the one in progress, whose context is attempt, and
+// reports whether there were both. It is called before the attempt in progress is cancelled: a silent engine of its path
+// may go on, which is better than no path. usable excludes paths with suspected engines.
+func (s *stream) reserveNext(attempt context.Context, faulty []fleet.Target, usable bool) bool {
+	g := s.gateway
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if attempt.Err() != nil || s.retryReserved || s.next != nil || s.path == nil {
+		return false
+	}
+	path := s.chooseNext(faulty)
+	if path == nil {
+		return false
+	}
+	window, now, instances := g.retryState(s.service.ID)
+	if usable && !g.dispatcher.Usable(boottime.Now(), path) || !window.TryAcquire(now, instances) {
+		g.dispatcher.Release(path)
+		return false
+	}
+	s.next, s.retryReserved = path, true
+	return true
+}
+
+// chooseNext chooses and reserves a path without the faulty engines, or, if none is known to be faulty, one without any
+// engine of the path in progress if there is such a path. The caller holds gateway.mu.
+func (s *stream) chooseNext(faulty []fleet.Target) *dispatch.Path {
+	required := make(map[entity.TargetID]bool)
+	preferred := maps.Clone(s.avoid)
+	for _, target := range faulty {
+		required[target.ID], preferred[target.ID] = true, true
+	}
+	if len(faulty) == 0 {
+		for _, stage := range s.path.Stages {
+			preferred[stage.Target.ID] = true
+		}
+	}
+	now := boottime.Now()
+	if path := s.gateway.dispatcher.ChoosePath(now, s.service, s.size, preferred); path != nil {
+		return path
+	}
+	return s.gateway.dispatcher.ChoosePath(now, s.service, s.size, required)
+}
+
+// releaseNext ends the reservation of a path for an attempt that was not made.
+func (s *stream) releaseNext() {
+	s.gateway.mu.Lock()
+	defer s.gateway.mu.Unlock()
+	if s.next != nil {
+		s.gateway.dispatcher.Release(s.next)
+		s.next = nil
+	}
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -47,8 +47,10 @@
 	size dispatch.GenerationSize
 	// avoid holds the engines that failed or refused this stream; path, attemptCtx and cancelAttempt are the path and
 	// the context of the attempt in progress. They are guarded by gateway.mu.
-	avoid         map[entity.TargetID]bool
-	path          *dispatch.Path
+	avoid map[entity.TargetID]bool
+	path  *dispatch.Path
+	// next is the path that is reserved for the next attempt, nil for none; guarded by gateway.mu.
+	next          *dispatch.Path
 	attemptCtx    context.Context
 	cancelAttempt context.CancelFunc
 	// reroutes counts the reroutes of the stream; rerouteMu is held during each.
@@ -94,6 +96,7 @@
 	}
 	q.setWriteTimeout(q.timeLeft() + streamWriteTimeout)
 	s.size = dispatch.EstimateGeneration(q.service.Engine, q.PromptTokens, q.ExpectedTokens, q.MaxTokens)
+	defer s.releaseNext()
 	for q.hasTime(ctx) {
 		done, retry := s.runAttempt(ctx)
 		if done {
@@ -167,7 +170,8 @@
 	s.watchdog = s.gateway.inspector.watch(attemptCtx, watchedAttempt{
 		requestID: s.ID, targets: s.targets, targetsWithoutProgress: s.targetsWithoutProgress,
 		stallTimeout: s.stallTimeout, replaceable: func() bool { return resumable && s.replaceable(sends) },
-		reserveRetry: func() bool { return s.reserveRetry(attemptCtx) }, reroute: s.reroute, cancel: cancel,
+		reserveNext: func(faulty []fleet.Target, usable bool) bool { return s.reserveNext(attemptCtx, faulty, usable) },
+		reroute:     s.reroute, cancel: cancel,
 		begun: s.eventForwarded.Load,
 	})
 	defer s.watchdog.stop()
@@ -209,34 +213,6 @@
 	return maxSends
 }
 
-// awaitPath returns a reserved path. If engines are missing or have just refused the stream, it waits up to pathTimeout
-// or begunWait for a path, and returns nil if it finds none. A stream that has not begun does not wait for first
-// engines that all asked for time.
-func (s *stream) awaitPath(ctx context.Context) *dispatch.Path {
-	timeout := pathTimeout
-	if s.headWritten {
-		timeout = begunWait
-	}
-	for waited := time.Duration(0); ; waited += waitInterval {
-		if path := s.choosePath(); path != nil || waited >= timeout || ctx.Err() != nil || !s.headWritten && s.allBackOff() {
-			return path
-		}
-		// An engine that refused may have capacity again, and there may be no other.
-		s.gateway.mu.Lock()
-		clear(s.avoid)
-		s.gateway.mu.Unlock()
-		sleep(ctx, waitInterval)
-	}
-}
-
-// choosePath chooses and reserves the path of an attempt.
-func (s *stream) choosePath() *dispatch.Path {
-	s.gateway.mu.Lock()
-	defer s.gateway.mu.Unlock()
-	s.path = s.gateway.dispatcher.ChoosePath(boottime.Now(), s.service, s.size, s.avoid)
-	return s.path
-}
-
 // register adds the stream to gateway.streams, where RerouteFromUnloadingEngine finds its attempt, until release.
 func (s *stream) register(ctx context.Context, cancel context.CancelFunc) {
 	s.gateway.mu.Lock()
--- a/internal/gateway/watchdog.go
+++ b/internal/gateway/watchdog.go
@@ -41,8 +41,9 @@
 	replaceable  func() bool
 	// begun reports whether the caller has got a part of the response.
 	begun func() bool
-	// reserveRetry takes a retry for the attempt that is to follow, and reports whether one was left.
-	reserveRetry func() bool
+	// reserveNext takes a retry and a path without the faulty engines for the attempt that is to follow, and reports
+	// whether there were both. usable excludes paths with suspected engines.
+	reserveNext func(faulty []fleet.Target, usable bool) bool
 	// reroute tries to continue the attempt without the faulty engines.
 	reroute func(ctx context.Context, faulty []fleet.Target) bool
 	// cancel cancels the attempt.
@@ -132,7 +133,7 @@
 	}
 	if stall.Cancel() && stall.Replaceable {
 		// Many streams may have to be retried at the same time.
-		stall.Replaceable = w.attempt.reserveRetry()
+		stall.Replaceable = w.attempt.reserveNext(faulty, stall.Idle < stall.Limit)
 	}
 	if stall.Cancel() {
 		log.Event("stalled attempt cancelled", "request", w.attempt.requestID, "ms", idle.Milliseconds(),
--- a/internal/gateway/watchdog_test.go
+++ b/internal/gateway/watchdog_test.go
@@ -116,7 +116,7 @@
 			attempt: watchedAttempt{
 				requestID: "s", targets: stalled.targets, targetsWithoutProgress: stalled.targetsWithoutProgress,
 				stallTimeout: func() time.Duration { return time.Minute }, replaceable: func() bool { return true },
-				reserveRetry: func() bool { return true },
+				reserveNext: func([]fleet.Target, bool) bool { return true },
 				reroute: func(_ context.Context, targets []fleet.Target) bool {
 					faulty = targets
 					return canReroute
@@ -145,7 +145,7 @@
 			inspector: g.inspector, lastArrival: time.Now().Add(-time.Second), timer: time.NewTimer(time.Hour),
 			attempt: watchedAttempt{
 				requestID: "s", stallTimeout: func() time.Duration { return time.Minute },
-				replaceable: func() bool { return true }, reserveRetry: func() bool { return retryLeft },
+				replaceable: func() bool { return true }, reserveNext: func([]fleet.Target, bool) bool { return retryLeft },
 				cancel: func() { cancelled = true }, begun: func() bool { return true },
 			},
 		}
