--- a/core/fleet/reach.go
+++ b/core/fleet/reach.go
@@ -8,9 +8,9 @@
 
 const (
 	// SilenceLimit is how long a target that sends nothing may be sound: sound ones fall silent for a second or so. After
-	// it an engine counts as lost, so that its layers are placed elsewhere, and a stream that waits for it is given up,
-	// so that its caller, who disconnects after two seconds without an event, can retry. The list of targets drops an
-	// engine only after three missed heartbeats.
+	// it an engine counts as lost, so that its layers are placed elsewhere, and a stream without any event that waits for it
+	// is given up, so that its caller, who disconnects after two seconds without an event, can retry. The list of targets
+	// drops an engine only after three missed heartbeats.
 	SilenceLimit = 1800 * time.Millisecond
 	// maxLostShare is the largest share of a zone's engines that can count as lost. If more are unresponsive, the zone
 	// is assumed to be partitioned from this instance, and its engines still hold their layers.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -115,6 +115,8 @@
 // endFailed ends a stream for which no further attempt is made.
 func (s *stream) endFailed(ctx context.Context) {
 	switch {
+	case s.headWritten && s.gaveUp == callerLeft:
+		s.endCanceled(s.lastErr)
 	case s.headWritten:
 		s.gateway.recordBroken(s.gaveUp)
 		s.recordEnd(string(s.failureKind(ctx)), "200")
@@ -170,9 +172,9 @@
 	s.watchdog = s.gateway.inspector.watch(attemptCtx, watchedAttempt{
 		requestID: s.ID, targets: s.targets, targetsWithoutProgress: s.targetsWithoutProgress,
 		stallTimeout: s.stallTimeout, replaceable: func() bool { return resumable && s.replaceable(sends) },
+		begun:       s.eventForwarded.Load,
 		reserveNext: func(faulty []fleet.Target, usable bool) bool { return s.reserveNext(attemptCtx, faulty, usable) },
 		reroute:     s.reroute, cancel: cancel,
-		begun: s.eventForwarded.Load,
 	})
 	defer s.watchdog.stop()
 	sent := time.Now()
