Count attempts that fail together as one failure of an engine

Callers saw: streams ended or refused with "no engines with enough free KV cache cover all layers" after a silence of a second, since the engines were still out of use.

Cause: each stream that passes through a silent engine records a failure of it, and each failure doubled the time for which the engine is suspected.

Change: a failure of an engine that is suspected already extends the suspicion but does not double it. An engine that is gone is noticed by its reports, which take it out of use. For plain targets, which give no reports, nothing changes.

Evidence: TestAttemptsThatFailTogetherCountOnce failed before ("failure 2: suspected for 1s, want 500ms").

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -190,9 +190,14 @@
 	if state == nil {
 		return time.Time{}
 	}
-	suspicion := min(maxSuspicionTime, minSuspicionTime<<min(state.consecutiveFailures, 4))
-	state.consecutiveFailures++
-	state.suspectUntil = now.Add(suspicion)
+	// Attempts that were in progress together fail together, and reports show whether an engine is still there.
+	if state.Card == "" || !now.Before(state.suspectUntil) {
+		state.consecutiveFailures++
+	}
+	suspicion := min(maxSuspicionTime, minSuspicionTime<<min(state.consecutiveFailures-1, 4))
+	if until := now.Add(suspicion); until.After(state.suspectUntil) {
+		state.suspectUntil = until
+	}
 	return state.suspectUntil
 }
 
