End the suspicion of a silent engine with its next answer

Callers saw: streams that found no path, or only a costly one, after a silence of engines had ended.

Cause: a failure of an engine that does not answer makes it both down and suspected.

Change: a suspicion that rests only on failures while the engine did not answer ends with its next answer. One that was recorded while it answered, for example of an engine that others cannot reach, lasts as before.

Evidence: TestAnswerEndsSuspicionForSilence failed before ("silent: usable after an answer: false, want true").

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -79,9 +79,11 @@
 
 	consecutiveFailures int
 	suspectUntil        time.Time
-	limit               concurrencyLimit
-	reachability        reachability
-	backoff             backoff
+	// suspectedSilent reports whether the suspicion rests only on failures while the engine did not answer.
+	suspectedSilent bool
+	limit           concurrencyLimit
+	reachability    reachability
+	backoff         backoff
 	// removeAt is when a target whose entry may have lapsed in an outage of the store is dropped; zero for listed targets.
 	removeAt time.Time
 	// beforeRestore reports whether the entry was read before the store was restored from a copy, which may have an
@@ -167,6 +169,7 @@
 	if restarted {
 		state.consecutiveFailures, state.suspectUntil, state.limit, state.reachability =
 			0, time.Time{}, concurrencyLimit{}, reachability{}
+		state.suspectedSilent = false
 		state.backoff = backoff{}
 	}
 	return true
@@ -190,8 +193,10 @@
 	if state == nil {
 		return time.Time{}
 	}
+	silent, suspected := state.Down(now), now.Before(state.suspectUntil)
+	state.suspectedSilent = silent && (state.suspectedSilent || !suspected)
 	// Attempts that were in progress together fail together, and reports show whether an engine is still there.
-	if state.Card == "" || !now.Before(state.suspectUntil) {
+	if !suspected || state.Card == "" {
 		state.consecutiveFailures++
 	}
 	suspicion := min(maxSuspicionTime, minSuspicionTime<<min(state.consecutiveFailures-1, 4))
@@ -258,6 +263,9 @@
 		return false
 	}
 	state.reachability = reachability{answeredAt: now}
+	if state.suspectedSilent {
+		state.consecutiveFailures, state.suspectUntil, state.suspectedSilent = 0, time.Time{}, false
+	}
 	wasSlow := state.Slowdown >= slowThreshold
 	state.Slowdown, state.SlowdownAt = report.Slowdown, now
 	return wasSlow != (report.Slowdown >= slowThreshold)
@@ -290,6 +298,6 @@
 // RecordSuccess records that a target served a call, which ends its suspicion.
 func (f *Fleet) RecordSuccess(id entity.TargetID) {
 	if state := f.targets.Get(id); state != nil {
-		state.consecutiveFailures, state.suspectUntil = 0, time.Time{}
+		state.consecutiveFailures, state.suspectUntil, state.suspectedSilent = 0, time.Time{}, false
 	}
 }
--- a/core/fleet/silence_test.go
+++ b/core/fleet/silence_test.go
@@ -20,3 +20,34 @@
 		t.Errorf("failure after the suspicion: suspected for %v, want %v", got, 2*minSuspicionTime)
 	}
 }
+
+// TestAnswerEndsSuspicionForSilence guards against an engine that stays out of use after a silence although it answers again.
+func TestAnswerEndsSuspicionForSilence(t *testing.T) {
+	const ttl = 1400 * time.Millisecond
+	now := time.Unix(1000, 0)
+	for name, test := range map[string]struct {
+		before func(f *Fleet)
+		usable bool
+	}{
+		"silent": {func(f *Fleet) {
+			f.RecordNoAnswer(now, "a0", ttl)
+			f.RecordFailure(now, "a0")
+		}, true},
+		"failed although it answers": {func(f *Fleet) { f.RecordFailure(now, "a0") }, false},
+		"failed, then silent": {func(f *Fleet) {
+			f.RecordFailure(now, "a0")
+			f.RecordNoAnswer(now, "a0", ttl)
+			f.RecordFailure(now, "a0")
+		}, false},
+	} {
+		f := newEngineFleet(2)
+		test.before(f)
+		if f.Get("a0").Usable(now) {
+			t.Errorf("%s: usable before it answers", name)
+		}
+		f.RecordReport(now.Add(time.Millisecond), "a0", Report{Born: 1})
+		if got := f.Get("a0").Usable(now.Add(time.Millisecond)); got != test.usable {
+			t.Errorf("%s: usable after an answer: %v, want %v", name, got, test.usable)
+		}
+	}
+}
