Query engines that may only be silent often, and past the cache

Callers saw: streams without a path, and long pauses, for a second and more after a silence of engines had ended.

Cause: engines that are down were probed by a ticker of 600 ms, and a probe took a cached result of up to 500 ms. An unanswered query takes 300 ms, so the next tick found its failure in the cache, and an engine was queried every 1.2 s only, also by the instance that queries for its zone.

Change: probes always read a new report. The instance that queries for its zone, and those whose streams pass through the engine, query it again 100 ms after each unanswered query for the first 3 s, then as seldom as before. The others still wait for the answer to another instance.

Evidence: TestEngineIsUsedSoonAfterSilence failed before ("out of use for 999.128105ms after the silence, want at most 550ms", for the collector and for waiting streams alike), TestZoneNoticesDeadEngine logged 2.70 s until a dead engine is lost, and 2.20 s after the change. TestSilentEngineIsAskedOften is new with the policy.

--- a/core/fleet/reach.go
+++ b/core/fleet/reach.go
@@ -17,6 +17,15 @@
 	maxLostShare = 0.5
 	// responsiveTTL is how long after its last report an engine is reported to other instances as responsive.
 	responsiveTTL = time.Second
+	// recentSilence is how long an engine that does not answer is queried retryProbeDelay after each query, since it may be
+	// sound and answer again at any time. It is longer than SilenceLimit, so that this also shows whether it is lost.
+	recentSilence   = 3 * time.Second
+	retryProbeDelay = 100 * time.Millisecond
+	// crossCheckDelay is the time between two queries of an engine of which another instance says otherwise.
+	crossCheckDelay = 300 * time.Millisecond
+	// maxZoneProbeInterval is the longest time between two queries of an engine that is down by the instance that queries
+	// for its zone.
+	maxZoneProbeInterval = time.Second
 )
 
 // reachability records whether an engine answers this instance. The zero value means that it does.
@@ -54,26 +63,42 @@
 	Interval time.Duration
 	// ForZone reports whether this instance queries engines for the other instances of its zone.
 	ForZone bool
+	// InUse, if set, reports whether streams of this instance pass through an engine.
+	InUse func(entity.TargetID) bool
 }
 
-// DueProbes returns the engines to query now. An engine that is down is queried after the interval, and at once if
-// another instance got an answer from it: one instance that queries often is enough. An instance that queries for its
-// zone also queries the engines that left others without an answer, since it decides whether their layers are placed
-// elsewhere. Engines that asked to get no requests are left out.
+// DueProbes returns the engines to query now. Engines that asked to get no requests are left out.
 func (f *Fleet) DueProbes(now time.Time, policy ProbePolicy) (due []Target) {
 	for _, state := range f.targets.All {
-		if state.Card == "" || state.BacksOff(now) {
-			continue
-		}
-		down := state.Down(now)
-		overdue := now.Sub(state.reachability.unansweredAt) >= policy.Interval
-		if down && (overdue || state.OtherResponsive) || policy.ForZone && (down || state.OtherUnresponsive) {
+		if state.Card != "" && !state.BacksOff(now) && state.probeDue(now, policy) {
 			due = append(due, state.Target)
 		}
 	}
 	return due
 }
 
+// probeDue reports whether to query the engine now. One that is down is queried after the interval, and soon if another
+// instance got an answer from it: one instance that queries often is enough. An instance that queries for its zone, or
+// whose streams wait for the engine, queries it often for recentSilence. The former also queries the engines that left
+// others without an answer, since it decides whether their layers are placed elsewhere.
+func (s *State) probeDue(now time.Time, policy ProbePolicy) bool {
+	sinceAnswer, sinceNoAnswer := now.Sub(s.reachability.answeredAt), now.Sub(s.reachability.unansweredAt)
+	if !s.Down(now) {
+		return policy.ForZone && s.OtherUnresponsive && sinceAnswer >= crossCheckDelay
+	}
+	recent := now.Sub(s.reachability.unansweredSince) < recentSilence
+	switch {
+	case recent && (policy.ForZone || policy.InUse != nil && policy.InUse(s.ID)):
+		return sinceNoAnswer >= retryProbeDelay
+	case s.OtherResponsive:
+		return sinceNoAnswer >= crossCheckDelay
+	case policy.ForZone:
+		return sinceNoAnswer >= min(policy.Interval, maxZoneProbeInterval)
+	default:
+		return sinceNoAnswer >= policy.Interval
+	}
+}
+
 // LostTargets returns the engines whose layers must be placed elsewhere: those that are not in service, and those that
 // have been down for SilenceLimit while at least half of the engines of their zone are not.
 func (f *Fleet) LostTargets(now time.Time) map[entity.TargetID]bool {
--- a/core/fleet/silence_test.go
+++ b/core/fleet/silence_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"github.com/hyssophoist/hyssophoist/core/entity"
 )
 
 // TestAttemptsThatFailTogetherCountOnce guards against a suspicion of four seconds after a single silence that many streams met.
@@ -51,3 +53,31 @@
 		}
 	}
 }
+
+// TestSilentEngineIsAskedOften guards against an engine that is out of use long after the end of a silence.
+func TestSilentEngineIsAskedOften(t *testing.T) {
+	const interval = 600 * time.Millisecond
+	begin := time.Unix(1000, 0)
+	none := func(entity.TargetID) bool { return false }
+	for name, test := range map[string]struct {
+		policy ProbePolicy
+		since  time.Duration
+		after  time.Duration
+		due    bool
+	}{
+		"for the zone":                   {ProbePolicy{Interval: interval, ForZone: true, InUse: none}, 0, retryProbeDelay, true},
+		"just asked":                     {ProbePolicy{Interval: interval, ForZone: true, InUse: none}, 0, retryProbeDelay / 2, false},
+		"streams wait for it":            {ProbePolicy{Interval: interval, InUse: func(id entity.TargetID) bool { return id == "a0" }}, 0, retryProbeDelay, true},
+		"not needed here":                {ProbePolicy{Interval: interval, InUse: none}, 0, retryProbeDelay, false},
+		"silent for long":                {ProbePolicy{Interval: interval, ForZone: true, InUse: none}, 5 * time.Second, retryProbeDelay, false},
+		"silent for long, interval over": {ProbePolicy{Interval: interval, ForZone: true, InUse: none}, 5 * time.Second, interval, true},
+	} {
+		f := newEngineFleet(2)
+		last := begin.Add(test.since)
+		f.RecordNoAnswer(begin, "a0", time.Minute)
+		f.RecordNoAnswer(last, "a0", time.Minute)
+		if got := len(f.DueProbes(last.Add(test.after), test.policy)) == 1; got != test.due {
+			t.Errorf("%s: due %v, want %v", name, got, test.due)
+		}
+	}
+}
--- a/internal/gateway/inspect.go
+++ b/internal/gateway/inspect.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
 	"golang.org/x/sync/singleflight"
 
+	"github.com/hyssophoist/hyssophoist/core/dispatch"
 	"github.com/hyssophoist/hyssophoist/core/entity"
 	"github.com/hyssophoist/hyssophoist/core/fleet"
 	"github.com/hyssophoist/hyssophoist/internal/boottime"
@@ -19,6 +21,8 @@
 	// reportTTL is how long a report is cached for all streams. The reports that engines return are themselves a few
 	// hundred milliseconds old, and each call for one is charged.
 	reportTTL = 500 * time.Millisecond
+	// probeCheckInterval is the time between two checks which engines are to be probed.
+	probeCheckInterval = 100 * time.Millisecond
 	// minDownProbeInterval is the interval between two probes of an engine that is down by the instance that probes for
 	// its zone. For the others the interval grows by the same amount for every instancesPerIntervalStep instances.
 	minDownProbeInterval     = 600 * time.Millisecond
@@ -124,7 +128,7 @@
 
 // ProbeDownEngines probes engines that are down, until ctx ends, so that they are used again once they respond.
 func (g *Gateway) ProbeDownEngines(ctx context.Context) {
-	ticker := time.NewTicker(minDownProbeInterval)
+	ticker := time.NewTicker(probeCheckInterval)
 	defer ticker.Stop()
 	for {
 		select {
@@ -133,18 +137,28 @@
 			return
 		}
 		g.mu.Lock()
-		policy := fleet.ProbePolicy{Interval: g.downProbeInterval(), ForZone: g.collector}
+		policy := fleet.ProbePolicy{Interval: g.downProbeInterval(), ForZone: g.collector, InUse: g.engineInUse}
 		due := g.dispatcher.Fleet.DueProbes(boottime.Now(), policy)
 		g.mu.Unlock()
-		g.inspectAll(ctx, due)
+		g.inspectAll(ctx, due, time.Now()) // a cached result may be from before the engine answered again
 	}
 }
 
-// inspectAll reads the reports of engines in the background.
-func (g *Gateway) inspectAll(ctx context.Context, targets []fleet.Target) {
+// engineInUse reports whether a stream in progress passes through the engine. The caller holds g.mu.
+func (g *Gateway) engineInUse(id entity.TargetID) bool {
+	for s := range g.streams {
+		if slices.ContainsFunc(s.path.Stages, func(stage dispatch.Stage) bool { return stage.Target.ID == id }) {
+			return true
+		}
+	}
+	return false
+}
+
+// inspectAll reads the reports of engines in the background, unless they were read after the given time.
+func (g *Gateway) inspectAll(ctx context.Context, targets []fleet.Target, since time.Time) {
 	for _, target := range targets {
 		go func() {
-			if _, err := g.inspector.inspect(ctx, target); err != nil {
+			if _, err := g.inspector.inspectSince(ctx, target, since); err != nil {
 				log.Debugf("failed to read report of engine %s: %v", target.ID, err)
 			}
 		}()
@@ -157,5 +171,5 @@
 	g.mu.Lock()
 	slow := g.dispatcher.Fleet.SlowTargets(boottime.Now())
 	g.mu.Unlock()
-	g.inspectAll(ctx, slow)
+	g.inspectAll(ctx, slow, time.Now().Add(-reportTTL))
 }
