Place layers elsewhere only if queries show the silence

Callers saw: streams refused and interrupted after a silence had ended, since engines unloaded or loaded layers.

Cause: an engine counted as lost 1.8 s after the first unanswered query if it had not answered another one since. No query needed to show that it was still silent then, so an engine silent for 1.6 s was lost until the next query.

Change: an engine is lost only if 1.7 s lie between the first and the last query that it left unanswered. Queries of an engine that may only be silent follow each other after 350 ms, so that one ends shortly before 1.8 s and an engine that is gone is lost as early as before.

Evidence: TestUnaskedEngineIsNotLost failed before ("unanswered at [0s 1.2s]: lost true after 1.8s, want false").

--- a/core/fleet/reach.go
+++ b/core/fleet/reach.go
@@ -12,6 +12,10 @@
 	// is given up, so that its caller, who disconnects after two seconds without an event, can retry. The list of targets
 	// drops an engine only after three missed heartbeats.
 	SilenceLimit = 1800 * time.Millisecond
+	// lostAfterQueries is the time between the first and the last unanswered query after which an engine can count as lost.
+	// Without it, one that answers again before SilenceLimit would be lost until the next query. A query is sent some
+	// 350 ms after the one before, so the last one within SilenceLimit is recorded after this time.
+	lostAfterQueries = SilenceLimit - 100*time.Millisecond
 	// maxLostShare is the largest share of a zone's engines that can count as lost. If more are unresponsive, the zone
 	// is assumed to be partitioned from this instance, and its engines still hold their layers.
 	maxLostShare = 0.5
@@ -20,7 +24,7 @@
 	// recentSilence is how long an engine that does not answer is queried retryProbeDelay after each query, since it may be
 	// sound and answer again at any time. It is longer than SilenceLimit, so that this also shows whether it is lost.
 	recentSilence   = 3 * time.Second
-	retryProbeDelay = 100 * time.Millisecond
+	retryProbeDelay = 20 * time.Millisecond
 	// crossCheckDelay is the time between two queries of an engine of which another instance says otherwise.
 	crossCheckDelay = 300 * time.Millisecond
 	// maxZoneProbeInterval is the longest time between two queries of an engine that is down by the instance that queries
@@ -100,7 +104,7 @@
 }
 
 // LostTargets returns the engines whose layers must be placed elsewhere: those that are not in service, and those that
-// have been down for SilenceLimit while at least half of the engines of their zone are not.
+// have been down for SilenceLimit, shown by queries, while at least half of the engines of their zone are not.
 func (f *Fleet) LostTargets(now time.Time) map[entity.TargetID]bool {
 	type count struct{ engines, down int }
 	zones := make(map[entity.ZoneID]*count)
@@ -121,7 +125,7 @@
 	lost := make(map[entity.TargetID]bool)
 	for id, state := range f.targets.All {
 		zone := zones[state.Zone]
-		unresponsive := state.Card != "" && state.Down(now) && now.Sub(state.reachability.unansweredSince) >= SilenceLimit &&
+		unresponsive := state.Card != "" && state.silentTooLong(now) &&
 			float64(zone.down) <= maxLostShare*float64(zone.engines)
 		if unresponsive || !state.InService(now) {
 			lost[id] = true
@@ -129,3 +133,10 @@
 	}
 	return lost
 }
+
+// silentTooLong reports whether the engine has been down for SilenceLimit, and has left queries unanswered for almost as
+// long.
+func (s *State) silentTooLong(now time.Time) bool {
+	r := s.reachability
+	return s.Down(now) && now.Sub(r.unansweredSince) >= SilenceLimit && r.unansweredAt.Sub(r.unansweredSince) >= lostAfterQueries
+}
--- a/core/fleet/silence_test.go
+++ b/core/fleet/silence_test.go
@@ -81,3 +81,27 @@
 		}
 	}
 }
+
+// TestUnaskedEngineIsNotLost guards against layers that are placed elsewhere although no query shows that the engine is still silent.
+func TestUnaskedEngineIsNotLost(t *testing.T) {
+	const ttl = 1400 * time.Millisecond
+	begin := time.Unix(1000, 0)
+	for _, test := range []struct {
+		unanswered []time.Duration
+		at         time.Duration
+		lost       bool
+	}{
+		// Silent for 1.6 s: the last query that it left unanswered was sent just before the end.
+		{[]time.Duration{0, 800 * time.Millisecond, 1600 * time.Millisecond}, 2500 * time.Millisecond, false},
+		{[]time.Duration{0, 1200 * time.Millisecond}, SilenceLimit, false},
+		{[]time.Duration{0, 1200 * time.Millisecond, SilenceLimit}, SilenceLimit, true},
+	} {
+		f := newEngineFleet(4)
+		for _, at := range test.unanswered {
+			f.RecordNoAnswer(begin.Add(at), "a0", ttl)
+		}
+		if got := f.LostTargets(begin.Add(test.at))["a0"]; got != test.lost {
+			t.Errorf("unanswered at %v: lost %v after %v, want %v", test.unanswered, got, test.at, test.lost)
+		}
+	}
+}
--- a/internal/gateway/inspect.go
+++ b/internal/gateway/inspect.go
@@ -22,7 +22,7 @@
 	// hundred milliseconds old, and each call for one is charged.
 	reportTTL = 500 * time.Millisecond
 	// probeCheckInterval is the time between two checks which engines are to be probed.
-	probeCheckInterval = 100 * time.Millisecond
+	probeCheckInterval = 50 * time.Millisecond
 	// minDownProbeInterval is the interval between two probes of an engine that is down by the instance that probes for
 	// its zone. For the others the interval grows by the same amount for every instancesPerIntervalStep instances.
 	minDownProbeInterval     = 600 * time.Millisecond
--- a/internal/gateway/silence_test.go
+++ b/internal/gateway/silence_test.go
@@ -83,6 +83,20 @@
 	}
 }
 
+// TestSilentEngineKeepsItsLayers guards against layers that are placed elsewhere because a sound engine is silent for 1.6 s.
+func TestSilentEngineKeepsItsLayers(t *testing.T) {
+	t.Parallel()
+	const silence, end = 1600 * time.Millisecond, 2700 * time.Millisecond
+	g, engines := newSilenceGateway(t)
+	g.SetOtherLoads(loadshare.Loads{"e": {Unresponsive: true}}, loadshare.Instances{Zone: 3, All: 9}, true)
+	time.AfterFunc(silence, func() { engines.silent.Store(nil) })
+	go func() { _, _ = g.inspector.inspect(t.Context(), fleet.Target{ID: "e", Born: 1}) }()
+	lost := func(f *fleet.Fleet, now time.Time) bool { return f.LostTargets(now)["e"] }
+	if after := awaitEngine(g, end, lost); after < end {
+		t.Errorf("lost after %v", after)
+	}
+}
+
 // TestZoneNoticesDeadEngine guards against layers of an engine that is gone which are placed elsewhere late.
 func TestZoneNoticesDeadEngine(t *testing.T) {
 	t.Parallel()
