Keep an attempt of a call in progress beside a second one

What callers saw: a repeatable call whose target, which was sound, sent nothing for 1.6 s got 502 or 504 although its target would have answered in time. The other target refused it, asked for time, could not be reached, broke off, hung, fell silent later, or was as slow.

Cause: after 0.4 of the remaining time the gateway cancelled the attempt in favour of another target before it knew whether that one could do better. The first target counted as tried, so nothing was left then.

Change: the second attempt runs beside the first one, and the first response to forward ends the other. The limits stay as they were: an attempt in progress counts as one that may run the call (maxAttempts), a second attempt takes a retry and needs a target that is not suspected, and the first target is suspected from then on, until it answers.

The emulated target can fall silent in the middle of a body (SilentInBody).

--- a/internal/emulator/edgeplatform/serving.go
+++ b/internal/emulator/edgeplatform/serving.go
@@ -83,6 +83,14 @@
 	if faults.Truncate {
 		text = text[:len(text)/2]
 	}
+	if faults.SilentInBody > 0 {
+		sent := len(text) / 2
+		_, _ = io.WriteString(w, text[:sent])
+		_ = http.NewResponseController(w).Flush()
+		t.Silence(faults.SilentInBody)
+		t.awaitEndOfSilence()
+		text = text[sent:]
+	}
 	_, _ = io.WriteString(w, text)
 }
 
--- a/internal/emulator/edgeplatform/target.go
+++ b/internal/emulator/edgeplatform/target.go
@@ -64,6 +64,9 @@
 	// writes for this time. It does so when a request arrives, or at the event SilentAfter of a stream.
 	SilentFor   time.Duration
 	SilentAfter int
+	// SilentInBody makes the target fall silent for this time in the middle of the body of each response of a plain
+	// service.
+	SilentInBody time.Duration
 	// Leaving makes the target say in all its responses that it leaves.
 	Leaving bool
 }
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -134,7 +134,7 @@
 	x.setTimeout(timeout)
 	charged := &budgetReader{body: io.LimitReader(x.response.Body, maxBodyBytes+1), budget: &x.gateway.bodies}
 	content, err := io.ReadAll(charged)
-	q.bodyBytes += charged.taken
+	q.bodyBytes.Add(charged.taken)
 	if err != nil {
 		x.abort()
 		return nil, err
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -214,7 +214,7 @@
 	// attemptedTargets names the target or path of each attempt, for the log.
 	attemptedTargets []string
 	// bodyBytes is what the request has taken from the memory for response bodies.
-	bodyBytes int64
+	bodyBytes atomic.Int64
 	// stats returns the statistics of a stream; nil for other calls.
 	stats func() streamStats
 }
@@ -265,7 +265,7 @@
 	defer q.cancel(nil)
 	q.gateway.addRequest(q)
 	defer q.gateway.removeRequest(q)
-	defer func() { q.gateway.bodies.give(q.bodyBytes) }()
+	defer func() { q.gateway.bodies.give(q.bodyBytes.Load()) }()
 	if q.route.Kind == routing.Streaming {
 		q.serveStream(ctx)
 		return
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -17,9 +17,9 @@
 	// maxSends is the maximum number of attempts of one request, including those that targets rejected without running
 	// them.
 	maxSends = 4
-	// repeatableTimeoutShare is the fraction of the remaining time after which an attempt of a repeatable call is cancelled
-	// if another may follow, so that another target still has time to serve it.
-	repeatableTimeoutShare = 0.4
+	// secondAttemptShare is the fraction of the remaining time after which a repeatable call that has no response yet gets
+	// an attempt on another target as well, so that this one still has time to serve it.
+	secondAttemptShare = 0.4
 )
 
 // bufferedResponse is a complete response of a target.
@@ -28,30 +28,126 @@
 	body []byte
 }
 
+// bufferedCall is a call in progress whose response is buffered until it is complete. Only the goroutine of the request
+// uses its fields; attempts run in goroutines of their own.
+type bufferedCall struct {
+	*request
+	// attemptsCtx is the context of all attempts.
+	attemptsCtx context.Context
+	// tried holds the targets of all attempts, of which inProgress have no outcome yet.
+	tried      map[entity.TargetID]bool
+	inProgress int
+	outcomes   chan attemptOutcome
+	// latest is the target of the latest attempt. After secondAttempt, another attempt may follow while it is in progress.
+	latest        entity.TargetID
+	secondAttempt *time.Timer
+	// fallback is the response to forward if no attempt has a better one.
+	fallback *bufferedResponse
+	// refusal is the kind of the refusal if no target can have run the call.
+	refusal errkind.Kind
+}
+
+// attemptOutcome is the outcome of one attempt: an error, or a response that is complete unless its target has not run
+// the call.
+type attemptOutcome struct {
+	target *fleet.Target
+	bufferedResponse
+	err error
+}
+
+// served reports whether the target has run the call and its response can be forwarded.
+func (o *attemptOutcome) served() bool {
+	return o.err == nil && !o.head.NotRun && o.head.FromTarget && !o.head.ContentEncoded
+}
+
 // serveBuffered serves a call whose response is buffered until it is complete, and then forwarded.
 func (q *request) serveBuffered(ctx context.Context) {
-	tried := make(map[entity.TargetID]bool)
-	var fallback *bufferedResponse
-	for q.hasTime(ctx) {
-		target := q.chooseTarget(tried)
-		if target == nil {
-			q.endBuffered(ctx, fallback, errkind.NoCapacity)
-			return
-		}
-		tried[target.ID] = true
-		response, retry := q.attemptTarget(ctx, target, tried)
-		if response != nil && !retry {
-			q.writeResponse(response)
-			return
-		}
-		if response != nil {
-			fallback = response
-		}
-		if !retry || !q.hasTime(ctx) || q.sends >= maxSends || !q.takeRetry() {
-			break
+	attemptsCtx, cancel := context.WithCancel(ctx)
+	c := &bufferedCall{
+		request: q, attemptsCtx: attemptsCtx, tried: make(map[entity.TargetID]bool),
+		outcomes: make(chan attemptOutcome, maxSends), secondAttempt: time.NewTimer(maxTimeout), refusal: errkind.Overloaded,
+	}
+	defer c.awaitAttempts()
+	defer cancel()
+	defer c.secondAttempt.Stop()
+	response := c.run(ctx)
+	cancel()
+	if response != nil {
+		q.runs += c.inProgress
+		q.writeResponse(response)
+		return
+	}
+	q.endBuffered(ctx, c.fallback, c.refusal)
+}
+
+// run makes attempts until one has a response to forward, which it returns, or until none is in progress and no other may
+// follow.
+func (c *bufferedCall) run(ctx context.Context) *bufferedResponse {
+	if c.hasTime(ctx) {
+		c.beginAttempt()
+	}
+	for c.inProgress > 0 {
+		select {
+		case <-c.secondAttempt.C:
+			c.beginSecondAttempt(ctx)
+		case outcome := <-c.outcomes:
+			c.inProgress--
+			response, retry := c.handleOutcome(ctx, &outcome)
+			if response != nil && !retry {
+				return response
+			}
+			if response != nil {
+				c.fallback = response
+			}
+			if retry && c.hasTime(ctx) && c.mayBeginAttempt() && c.takeRetry() {
+				c.beginAttempt()
+			}
 		}
 	}
-	q.endBuffered(ctx, fallback, errkind.Overloaded)
+	return nil
+}
+
+// awaitAttempts returns when all attempts have ended. Their context must have ended.
+func (c *bufferedCall) awaitAttempts() {
+	for ; c.inProgress > 0; c.inProgress-- {
+		<-c.outcomes
+	}
+}
+
+// mayBeginAttempt reports whether the limits allow another attempt. Beside attempts in progress, all of which may run the
+// call, one is only of use on another target.
+func (c *bufferedCall) mayBeginAttempt() bool {
+	if c.sends >= maxSends || c.inProgress == 0 {
+		return c.sends < maxSends
+	}
+	return c.runs+c.inProgress < c.route.MaxAttempts && c.hasUntriedTarget()
+}
+
+// beginSecondAttempt begins an attempt on another target beside one that takes long, if another target and a retry are
+// left. The one in progress goes on: its target may be silent for a while, and the other may do no better.
+func (c *bufferedCall) beginSecondAttempt(ctx context.Context) {
+	if !c.route.Repeatable() || !c.hasTime(ctx) || !c.mayBeginAttempt() || !c.reserveRetry(ctx) || !c.takeRetry() {
+		return
+	}
+	c.gateway.recordFailure(c.latest, c.ID, "no response in time for another attempt")
+	c.beginAttempt()
+}
+
+// beginAttempt begins an attempt on a target that has not been tried, if there is one.
+func (c *bufferedCall) beginAttempt() {
+	target := c.chooseTarget(c.tried)
+	if target == nil {
+		c.refusal = errkind.NoCapacity
+		return
+	}
+	timeout := c.timeLeft()
+	c.tried[target.ID] = true
+	c.latest = target.ID
+	c.sends++
+	c.attemptedTargets = append(c.attemptedTargets, string(target.ID))
+	c.inProgress++
+	c.secondAttempt.Reset(time.Duration(secondAttemptShare * float64(timeout)))
+	go func() { c.outcomes <- c.attemptTarget(c.attemptsCtx, target, timeout) }()
 }
 
 // chooseTarget chooses a target that is not in tried and counts the call as in progress there. It returns nil if there
@@ -62,93 +158,82 @@
 	return q.gateway.dispatcher.ChooseTarget(boottime.Now(), q.service.ID, tried)
 }
 
-// limitAttempt cancels an attempt of a repeatable call after repeatableTimeoutShare of the remaining time if another
-// target and a retry are left then. An attempt that no other may follow gets all the time: its target may be silent for a
-// while and go on. The returned function ends this.
-func (q *request) limitAttempt(attempt context.Context, cancel context.CancelFunc,
-	tried map[entity.TargetID]bool) (stop func() bool) {
-	if !q.route.Repeatable() || q.runs+1 >= q.route.MaxAttempts || q.sends >= maxSends {
-		return func() bool { return true }
-	}
-	limit := time.Duration(repeatableTimeoutShare * float64(q.timeLeft()))
-	return time.AfterFunc(limit, func() {
-		if q.hasUntriedTarget(tried) && q.reserveRetry(attempt) {
-			cancel()
-		}
-	}).Stop
-}
-
 // hasUntriedTarget reports whether there is a target that is not in tried and not suspected.
-func (q *request) hasUntriedTarget(tried map[entity.TargetID]bool) bool {
-	q.gateway.mu.Lock()
-	defer q.gateway.mu.Unlock()
+func (c *bufferedCall) hasUntriedTarget() bool {
+	c.gateway.mu.Lock()
+	defer c.gateway.mu.Unlock()
 	now := boottime.Now()
-	next, _ := q.gateway.dispatcher.Fleet.ChoosePlain(now, q.service.ID, q.gateway.options.Zone, tried)
+	next, _ := c.gateway.dispatcher.Fleet.ChoosePlain(now, c.service.ID, c.gateway.options.Zone, c.tried)
 	return next != nil && next.Usable(now)
 }
 
-// attemptTarget sends the call to a target, the last one in tried. It returns the target's response, if there is one, and
-// whether another attempt is allowed and useful.
-func (q *request) attemptTarget(ctx context.Context, target *fleet.Target,
-	tried map[entity.TargetID]bool) (response *bufferedResponse, retry bool) {
+// attemptTarget sends the call to a target chosen by chooseTarget and returns the outcome. Several attempts of a request
+// may run at the same time.
+func (q *request) attemptTarget(ctx context.Context, target *fleet.Target, timeout time.Duration) attemptOutcome {
 	started := time.Now()
-	servedFor := time.Duration(0)
-	defer func() {
-		q.gateway.mu.Lock()
-		q.gateway.dispatcher.ReleaseTarget(target, servedFor)
-		q.gateway.mu.Unlock()
-	}()
-	q.sends++
-	q.attemptedTargets = append(q.attemptedTargets, string(target.ID))
-	attemptCtx, cancel := context.WithCancel(ctx)
+	outcome := attemptOutcome{target: target}
+	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	defer q.limitAttempt(attemptCtx, cancel, tried)()
-	timeout := q.timeLeft()
 	attempt := &Attempt{
-		Call: q.Call, Target: *target, Account: q.account.ID, Timeout: q.timeLeft(), LastEventID: q.LastEventID,
+		Call: q.Call, Target: *target, Account: q.account.ID, Timeout: timeout, LastEventID: q.LastEventID,
 	}
 	// A call that may run only once uses a new connection, since the target may already have closed a reused one.
-	x, err := q.gateway.send(attemptCtx, attempt, !q.route.Repeatable(), timeout)
-	var body []byte
-	if err == nil && !x.head.NotRun {
-		body, err = x.readBody(q, timeout)
+	x, err := q.gateway.send(ctx, attempt, !q.route.Repeatable(), timeout)
+	if err == nil {
+		outcome.head = x.head
+		if x.head.NotRun {
+			x.abort()
+		} else {
+			outcome.body, err = x.readBody(q, timeout)
+		}
 	}
+	outcome.err = err
+	servedFor := time.Duration(0)
+	if outcome.served() {
+		servedFor = time.Since(started)
+	}
+	q.gateway.mu.Lock()
+	defer q.gateway.mu.Unlock()
+	q.gateway.dispatcher.ReleaseTarget(target, servedFor)
+	return outcome
+}
+
+// handleOutcome records the outcome of an attempt. It returns the target's response, if there is one to forward, and
+// whether another attempt is allowed and useful.
+func (q *request) handleOutcome(ctx context.Context, o *attemptOutcome) (response *bufferedResponse, retry bool) {
+	id := o.target.ID
 	switch {
-	case errors.Is(err, errBackedOff):
+	case errors.Is(o.err, errBackedOff):
 		q.keepRetry()
-		q.lastErr, q.lastKind = err, errkind.Overloaded
+		q.lastErr, q.lastKind = o.err, errkind.Overloaded
 		return nil, true
-	case errors.Is(err, errNotSent):
+	case errors.Is(o.err, errNotSent):
 		q.keepRetry()
-		q.recordAttemptFailure(target.ID, errkind.NoCapacity, err)
+		q.recordAttemptFailure(id, errkind.NoCapacity, o.err)
 		return nil, true
-	case err != nil:
+	case o.err != nil:
 		q.runs++
-		q.recordAttemptFailure(target.ID, q.unknownOutcomeKind(ctx, err), err)
+		q.recordAttemptFailure(id, q.unknownOutcomeKind(ctx, o.err), o.err)
 		return nil, q.mayRunAgain()
-	case x.head.NotRun:
-		x.abort()
-		if x.head.RetryAfter > 0 { // not a failure: the target gets no requests while it wants none
-			q.lastErr, q.lastKind = &fleet.BackoffError{For: x.head.RetryAfter}, errkind.Overloaded
-			return nil, true
-		}
-		q.recordAttemptFailure(target.ID, errkind.Overloaded, errors.New("target did not run the request"))
+	case o.head.NotRun && o.head.RetryAfter > 0: // not a failure: the target gets no requests while it wants none
+		q.lastErr, q.lastKind = &fleet.BackoffError{For: o.head.RetryAfter}, errkind.Overloaded
+		return nil, true
+	case o.head.NotRun:
+		q.recordAttemptFailure(id, errkind.Overloaded, errors.New("target did not run the request"))
 		return nil, true
 	}
 	q.runs++
-	if !x.head.FromTarget || x.head.ContentEncoded {
-		q.recordAttemptFailure(target.ID, errkind.TargetFailed,
+	if !o.served() {
+		q.recordAttemptFailure(id, errkind.TargetFailed,
 			errors.New("response was not written by the target or was re-encoded"))
 		return nil, q.mayRunAgain()
 	}
-	servedFor = time.Since(started)
-	response = &bufferedResponse{head: x.head, body: body}
-	if x.head.Status >= http.StatusInternalServerError {
-		q.lastErr = errors.New("target responded with status " + strconv.Itoa(x.head.Status))
-		return response, q.mayRunAgain()
+	if o.head.Status >= http.StatusInternalServerError {
+		q.lastErr = errors.New("target responded with status " + strconv.Itoa(o.head.Status))
+		return &o.bufferedResponse, q.mayRunAgain()
 	}
-	q.gateway.recordSuccess(target.ID)
-	return response, false
+	q.gateway.recordSuccess(id)
+	return &o.bufferedResponse, false
 }
 
 // mayRunAgain reports whether another attempt may run the call.
