Test silent targets beside a stop and beside changes

No change of behaviour. Guards against requests that a stopping daemon, or one whose configuration, list of targets or settings change, ends because their targets are silent for a second or so, and checks what callers get if the targets are silent up to the end of the grace time: plain calls get 504 at the end of it and not earlier, streams that have not begun get 502, and begun ones are cut off at the end of it.

Streams whose engines leave meanwhile are left out.

--- a/internal/edge/silence_paths_test.go
+++ b/internal/edge/silence_paths_test.go
@@ -180,3 +180,230 @@
 	header := map[string]string{"X-Deadline-Ms": strconv.FormatInt(limit.Milliseconds(), 10)}
 	return d.callWithHeader(daemon, method, path, id, "key-1", body, header)
 }
+
+// waitingCall is a request that is sent in the background.
+type waitingCall struct {
+	id       string
+	result   result
+	finished time.Time
+	done     chan struct{}
+}
+
+// sendAll sends a posting, a lookup and a stream that may last for limit, and waits until all run.
+func (d *deployment) sendAll(daemon *Daemon, prefix string, limit time.Duration) []*waitingCall {
+	d.t.Helper()
+	var calls []*waitingCall
+	for _, kind := range []string{"post", "read", "gen"} {
+		call := &waitingCall{id: prefix + kind, done: make(chan struct{})}
+		calls = append(calls, call)
+		method := http.MethodPost
+		if kind == "read" {
+			method = http.MethodGet
+		}
+		header := map[string]string{"X-Deadline-Ms": strconv.FormatInt(limit.Milliseconds(), 10)}
+		go func() {
+			defer close(call.done)
+			call.result = d.callWithHeader(daemon, method, "/"+kind+"/1", call.id, "key-1", "", header)
+			call.finished = time.Now()
+		}()
+	}
+	return calls
+}
+
+// silenceAll makes all targets fall silent for a time when the next request arrives, or from now on.
+func (d *deployment) silenceAll(silence time.Duration, now bool) {
+	for _, target := range append(d.engines, d.plain...) {
+		if now {
+			target.Silence(silence)
+		} else {
+			target.SetFaults(edgeplatform.TargetFaults{SilentFor: silence})
+		}
+	}
+}
+
+// TestSilenceDuringStop guards against requests that a stopping daemon ends because their targets, which are sound, send
+// nothing for a second or so.
+func TestSilenceDuringStop(t *testing.T) {
+	t.Parallel()
+	for name, test := range map[string]struct {
+		sentAfter time.Duration // after the start of the stop, negative if before
+		noRetries bool
+	}{
+		"sent before the stop":                        {sentAfter: -300 * time.Millisecond},
+		"sent before the stop, no retry left":         {sentAfter: -300 * time.Millisecond, noRetries: true},
+		"sent during the stop":                        {sentAfter: time.Second},
+		"sent at the end of the balancer delay":       {sentAfter: 2300 * time.Millisecond},
+		"sent at the end of the delay, no retry left": {sentAfter: 2300 * time.Millisecond, noRetries: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			d := newDeployment(t)
+			daemon := d.addDaemonAndAwaitPlacement()
+			if test.noRetries {
+				daemon = d.addDaemonWithoutRetries("a")
+			}
+			d.silenceAll(1200*time.Millisecond, false)
+			var calls []*waitingCall
+			if test.sentAfter < 0 {
+				calls = d.sendAll(daemon, "x-", 4*time.Second)
+				time.Sleep(-test.sentAfter)
+			}
+			go daemon.drain()
+			if test.sentAfter >= 0 {
+				time.Sleep(test.sentAfter)
+				calls = d.sendAll(daemon, "x-", 4*time.Second)
+			}
+			for _, call := range calls {
+				<-call.done
+				if got := call.result; got.status != http.StatusOK || got.err != nil {
+					t.Errorf("%s: %+v, runs %+v", call.id, got, d.runsOf(call.id))
+				}
+			}
+		})
+	}
+}
+
+// TestSilenceAtEndOfGraceTimeGetsAnswer guards against requests that get no answer, or one too early, because their targets
+// are silent, or engines are missing, when a stopping daemon reaches the end of its grace time.
+func TestSilenceAtEndOfGraceTimeGetsAnswer(t *testing.T) {
+	t.Parallel()
+	const untilCut = 5 * time.Second // from the start of the requests to the end of the grace time and some more
+	for name, test := range map[string]struct {
+		silentAt       time.Duration // from the start of the requests
+		missingEngines bool
+	}{
+		"silent all the while":  {},
+		"silent before the end": {silentAt: 3 * time.Second},
+		"engines missing":       {missingEngines: true, silentAt: 3 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			d := newDeployment(t)
+			daemon := d.addDaemonAndAwaitPlacement()
+			for _, target := range append(d.engines, d.plain...) {
+				target.SetFaults(edgeplatform.TargetFaults{Hang: true})
+			}
+			sent := time.Now()
+			calls := d.sendAll(daemon, "x-", 20*time.Second)
+			time.Sleep(200 * time.Millisecond)
+			begun := time.Now()
+			go daemon.drain()
+			time.Sleep(time.Until(sent.Add(test.silentAt)))
+			d.silenceAll(untilCut-test.silentAt, true)
+			if test.missingEngines {
+				for _, engine := range d.engines {
+					engine.Advertise(unreachableAddress(t))
+					engine.Restart()
+					d.register(engine, "ready")
+				}
+			}
+			end := begun.Add(time.Duration(daemon.settings.StopGrace))
+			for _, call := range calls {
+				<-call.done
+				got, isStream, ran := call.result, call.id == "x-gen", len(d.runsOf(call.id)) > 0
+				t.Logf("%s: status %d, %v, after %v", call.id, got.status, got.err, call.finished.Sub(begun))
+				if got.err != nil || got.status < 500 || got.status == http.StatusServiceUnavailable && ran {
+					t.Errorf("%s: %+v, runs %+v", call.id, got, d.runsOf(call.id))
+				}
+				if call.finished.After(end) || !isStream && call.finished.Before(end.Add(-stopMargin)) {
+					t.Errorf("%s was answered after %v of the stop", call.id, call.finished.Sub(begun))
+				}
+			}
+		})
+	}
+}
+
+// TestBegunStreamSilentAtEndOfGraceTime guards against begun streams that a stopping daemon cuts off before the end of its
+// grace time because their engines, which are sound, send nothing for a second or so.
+func TestBegunStreamSilentAtEndOfGraceTime(t *testing.T) {
+	t.Parallel()
+	for name, noRetries := range map[string]bool{"retries left": false, "no retry left": true} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			d := newDeployment(t)
+			daemon := d.addDaemonAndAwaitPlacement()
+			if noRetries {
+				daemon = d.addDaemonWithoutRetries("a")
+			}
+			for _, engine := range d.engines {
+				engine.Events = 4000
+			}
+			stream := d.sendAll(daemon, "x-", 20*time.Second)[2]
+			d.waitUntil("the stream runs", func() bool { return len(d.runsOf(stream.id)) > 0 })
+			begun := time.Now()
+			go daemon.drain()
+			end := begun.Add(time.Duration(daemon.settings.StopGrace) - stopMargin)
+			time.Sleep(time.Until(end.Add(-soundSilence)))
+			d.silenceAll(soundSilence+time.Second, true)
+			<-stream.done
+			if stream.result.err == nil || stream.finished.Before(end) {
+				t.Errorf("after %v of the stop: %d, %v", stream.finished.Sub(begun), stream.result.status, stream.result.err)
+			}
+		})
+	}
+}
+
+// TestSilenceBesideChange guards against requests that end without their answer because the configuration, the list of
+// targets or the settings change while their targets, which are sound, are silent.
+func TestSilenceBesideChange(t *testing.T) {
+	t.Parallel()
+	withRoutes := func(change func(routes []any) []any) func(*deployment, *Daemon) {
+		return func(d *deployment, daemon *Daemon) {
+			row := edgeplatform.Configuration{Version: 2, Account: "account-1", Keys: []string{"key-1"}, PostAttempts: 1}.Row()
+			row["routes"] = change(row["routes"].([]any))
+			if err := d.store.Put("op", "config", row); err != nil {
+				d.t.Error(err)
+			}
+			d.waitUntil("the change is in force", func() bool { return daemon.gateway.Configuration().Version == 2 })
+		}
+	}
+	setAll := func(name string, value any) func(routes []any) []any {
+		return func(routes []any) []any {
+			for _, route := range routes {
+				route.(map[string]any)[name] = value
+			}
+			return routes
+		}
+	}
+	for name, change := range map[string]func(*deployment, *Daemon){
+		"shorter timeout":                 withRoutes(setAll("timeoutMs", 500)),
+		"fewer attempts":                  withRoutes(setAll("maxAttempts", 1)),
+		"all routes dropped":              withRoutes(func([]any) []any { return nil }),
+		"streaming becomes a plain route": withRoutes(setAll("routeKind", "idempotent")),
+		"key dropped": func(d *deployment, daemon *Daemon) {
+			d.configure(2, "key-2")
+			d.waitUntil("the change is in force", func() bool { return daemon.gateway.Configuration().Version == 2 })
+		},
+		"all targets of the plain service leave": func(d *deployment, daemon *Daemon) {
+			for _, target := range d.plain {
+				d.register(target, "draining")
+			}
+			d.waitUntil("the change is known", func() bool { return daemon.plainTargetsInService() == "" })
+		},
+		"all targets of the plain service removed": func(d *deployment, daemon *Daemon) {
+			for _, target := range d.plain {
+				d.store.Remove("servers", target.ID)
+			}
+			d.waitUntil("the change is known", func() bool { return daemon.plainTargetsInService() == "" })
+		},
+		"reload": func(_ *deployment, daemon *Daemon) { reload("missing.toml", daemon.settings) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			d := newDeployment(t)
+			daemon := d.addDaemonAndAwaitPlacement()
+			d.silenceAll(soundSilence, false)
+			calls := d.sendAll(daemon, "x-", 4*time.Second)
+			d.waitUntil("all run", func() bool {
+				return len(d.runsOf("x-post")) > 0 && len(d.runsOf("x-read")) > 0 && len(d.runsOf("x-gen")) > 0
+			})
+			change(d, daemon)
+			for _, call := range calls {
+				<-call.done
+				if got := call.result; got.status != http.StatusOK || got.err != nil {
+					t.Errorf("%s: %+v, runs %+v", call.id, got, d.runsOf(call.id))
+				}
+			}
+		})
+	}
+}
