Count one silence of a target as one failure of plain calls

What callers saw: a target that was silent for a second with several lookups in progress got no new ones for 4 s, so that the other targets had to serve its share.

Cause: each call that waited for it recorded a failure when its second attempt began, and each failure doubles the time for which the target is suspected: five calls reach the maximum within a millisecond.

Change: a target that is suspected already, or down, gets no further failure from calls whose second attempt begins.

--- a/internal/edge/silence_paths_test.go
+++ b/internal/edge/silence_paths_test.go
@@ -4,10 +4,13 @@
 	"fmt"
 	"net/http"
 	"strconv"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
 
+	"github.com/hyssophoist/hyssophoist/core/fleet"
+	"github.com/hyssophoist/hyssophoist/internal/boottime"
 	"github.com/hyssophoist/hyssophoist/internal/emulator/edgeplatform"
 )
 
@@ -407,3 +410,34 @@
 		})
 	}
 }
+
+// TestSilenceOfBusyTargetCountsOnce guards against a target that gets no calls for seconds after a silence of a second or
+// so, so that the others are overloaded: each call that waits for it counted as a further failure.
+func TestSilenceOfBusyTargetCountsOnce(t *testing.T) {
+	t.Parallel()
+	const calls = 8
+	d := newDeployment(t)
+	daemon := d.plainDaemon(false, false)
+	for _, target := range d.plain {
+		target.Latency = 50 * time.Millisecond
+	}
+	d.plain[0].Silence(time.Second)
+	var running sync.WaitGroup
+	for n := range 2 * calls {
+		running.Go(func() {
+			if got := d.plainCall(daemon, http.MethodGet, fmt.Sprint("x-", n), 2*time.Second); got.status != http.StatusOK {
+				t.Errorf("call %d: %+v", n, got)
+			}
+		})
+	}
+	running.Wait()
+	suspectedFrom := time.Now()
+	d.waitUntil("the target gets calls again", func() bool {
+		usable := false
+		daemon.gateway.WithFleet(func(f *fleet.Fleet) { usable = f.Get("plain-0").Usable(boottime.Now()) })
+		return usable
+	})
+	if suspected := time.Since(suspectedFrom); suspected > time.Second {
+		t.Errorf("the target got no calls for %v after the silence", suspected)
+	}
+}
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -129,10 +129,26 @@
 	if !c.route.Repeatable() || !c.hasTime(ctx) || !c.mayBeginAttempt() || !c.reserveRetry(ctx) || !c.takeRetry() {
 		return
 	}
-	c.gateway.recordFailure(c.latest, c.ID, "no response in time for another attempt")
+	c.suspectLatest()
 	c.beginAttempt()
 }
 
+// suspectLatest records that the target of the latest attempt sends no response. The calls that wait for it during one
+// silence count as one failure: it gets less new work the more failures it has.
+func (c *bufferedCall) suspectLatest() {
+	now := boottime.Now()
+	c.gateway.mu.Lock()
+	state := c.gateway.dispatcher.Fleet.Get(c.latest)
+	if state == nil || !state.Usable(now) {
+		c.gateway.mu.Unlock()
+		return
+	}
+	until := c.gateway.dispatcher.Fleet.RecordFailure(now, c.latest)
+	c.gateway.mu.Unlock()
+	log.Event("target suspected", "target", c.latest, "request", c.ID, "reason", "no response in time for another attempt",
+		"for", until.Sub(now).Round(time.Millisecond))
+}
+
 // beginAttempt begins an attempt on a target that has not been tried, if there is one.
 func (c *bufferedCall) beginAttempt() {
 	target := c.chooseTarget(c.tried)
