Repeat a call whose kept connection its target has closed

What callers saw: a lookup got 502 (outcome_unknown) at once although its target, the only one left, was sound.

Cause: a target that goes on after a silence closes the connections that have been idle for too long by its clock, also if a request has arrived on one meanwhile. keepAliveMargin is 0.5 s, less than such a silence. The target counted as tried, so a call for which no other target was left ended.

Change: if a target closes a reused connection before its response, a call that may be repeated may be sent to that target again, on a new connection. Calls that may run once always use a new connection.

--- a/internal/edge/silence_paths_test.go
+++ b/internal/edge/silence_paths_test.go
@@ -441,3 +441,22 @@
 		t.Errorf("the target got no calls for %v after the silence", suspected)
 	}
 }
+
+// TestKeptConnectionClosedAfterSilence guards against lookups that fail because their target, which is sound and the only
+// one, closes a kept connection when it goes on after a silence: for the target it has been idle for too long.
+func TestKeptConnectionClosedAfterSilence(t *testing.T) {
+	t.Parallel()
+	const silence = time.Second
+	d := newDeployment(t)
+	d.preferFirstPlainTarget(otherPlainTarget{removed: true})
+	daemon := d.plainDaemon(false, true)
+	if got := d.plainCall(daemon, http.MethodGet, "first", waitLimit); got.status != http.StatusOK {
+		t.Fatalf("first lookup: %+v", got)
+	}
+	target := d.plain[0]
+	target.Silence(silence)
+	time.AfterFunc(silence/2, target.Restart) // closes the connections
+	if got := d.plainCall(daemon, http.MethodGet, "second", 3*time.Second); got.status != http.StatusOK || got.err != nil {
+		t.Errorf("second lookup: %+v, runs %+v", got, d.runsOf("second"))
+	}
+}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -30,6 +30,10 @@
 // errNotSent is returned if no part of a request was sent to its target.
 var errNotSent = errors.New("request was not sent")
 
+// errStaleConn is returned if a target closed a reused connection before its response. It may have done so because the
+// connection had been idle for too long when the target went on after a silence.
+var errStaleConn = errors.New("target closed a reused connection")
+
 // exchange is one request and its response on one connection.
 type exchange struct {
 	gateway  *Gateway
@@ -62,12 +66,15 @@
 		return nil, errBackedOff
 	}
 	x.setTimeout(headTimeout)
-	if err := x.writeRequest(request); err != nil {
-		x.abort()
-		return nil, err
+	err = x.writeRequest(request)
+	if err == nil {
+		err = x.readHead(request, attempt.Call.ID)
 	}
-	if err := x.readHead(request, attempt.Call.ID); err != nil {
+	if err != nil {
 		x.abort()
+		if conn.Reused && closedByTarget(err) {
+			err = fmt.Errorf("%w: %w", errStaleConn, err)
+		}
 		return nil, err
 	}
 	g.recordHead(attempt, x.head, sentAt)
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -41,6 +41,8 @@
 	// latest is the target of the latest attempt. After secondAttempt, another attempt may follow while it is in progress.
 	latest        entity.TargetID
 	secondAttempt *time.Timer
+	// newConn requests new connections for further attempts.
+	newConn bool
 	// fallback is the response to forward if no attempt has a better one.
 	fallback *bufferedResponse
 	// refusal is the kind of the refusal if no target can have run the call.
@@ -99,6 +101,10 @@
 			if response != nil {
 				c.fallback = response
 			}
+			if errors.Is(outcome.err, errStaleConn) { // the target may serve it on a new connection
+				c.newConn = true
+				delete(c.tried, outcome.target.ID)
+			}
 			if retry && c.hasTime(ctx) && c.mayBeginAttempt() && c.takeRetry() {
 				c.beginAttempt()
 			}
@@ -163,7 +169,9 @@
 	c.attemptedTargets = append(c.attemptedTargets, string(target.ID))
 	c.inProgress++
 	c.secondAttempt.Reset(time.Duration(secondAttemptShare * float64(timeout)))
-	go func() { c.outcomes <- c.attemptTarget(c.attemptsCtx, target, timeout) }()
+	// A call that may run only once uses a new connection, since the target may already have closed a reused one.
+	newConn := c.newConn || !c.route.Repeatable()
+	go func() { c.outcomes <- c.attemptTarget(c.attemptsCtx, target, timeout, newConn) }()
 }
 
 // chooseTarget chooses a target that is not in tried and counts the call as in progress there. It returns nil if there
@@ -185,7 +193,8 @@
 
 // attemptTarget sends the call to a target chosen by chooseTarget and returns the outcome. Several attempts of a request
 // may run at the same time.
-func (q *request) attemptTarget(ctx context.Context, target *fleet.Target, timeout time.Duration) attemptOutcome {
+func (q *request) attemptTarget(ctx context.Context, target *fleet.Target, timeout time.Duration,
+	newConn bool) attemptOutcome {
 	started := time.Now()
 	outcome := attemptOutcome{target: target}
 	ctx, cancel := context.WithCancel(ctx)
@@ -193,8 +202,7 @@
 	attempt := &Attempt{
 		Call: q.Call, Target: *target, Account: q.account.ID, Timeout: timeout, LastEventID: q.LastEventID,
 	}
-	// A call that may run only once uses a new connection, since the target may already have closed a reused one.
-	x, err := q.gateway.send(ctx, attempt, !q.route.Repeatable(), timeout)
+	x, err := q.gateway.send(ctx, attempt, newConn, timeout)
 	if err == nil {
 		outcome.head = x.head
 		if x.head.NotRun {
