Share one Sleep that ends with a context

Cause: the wait for a duration or the end of a context stood eight times: as functions of their own in configstore, configsync and loadshare, and as a select in postingstore (twice), controlplane, cli and daemon. Two forms used a timer that was stopped, the others time.After; one returned nothing.

Change: timing.Sleep serves all of them. The waits and what follows them are the same.

--- a/internal/cli/client.go
+++ b/internal/cli/client.go
@@ -20,6 +20,7 @@
 	"github.com/hyssophoist/hyssophoist/api/adminapi"
 	"github.com/hyssophoist/hyssophoist/core/entity"
 	"github.com/hyssophoist/hyssophoist/core/errkind"
+	"github.com/hyssophoist/hyssophoist/internal/timing"
 )
 
 const (
@@ -118,14 +119,9 @@
 		}
 		outcomeUnknown = outcomeUnknown || !errors.Is(unreachable.Err, syscall.ECONNREFUSED)
 		unreachable.OutcomeUnknown = outcomeUnknown
-		if attempt == changeAttempts {
+		if attempt == changeAttempts || !timing.Sleep(ctx, retryPause) {
 			return err
 		}
-		select {
-		case <-ctx.Done():
-			return err
-		case <-time.After(retryPause):
-		}
 	}
 }
 
--- a/internal/configstore/presets.go
+++ b/internal/configstore/presets.go
@@ -11,6 +11,7 @@
 	"github.com/hyssophoist/hyssophoist/core/errkind"
 	"github.com/hyssophoist/hyssophoist/core/rollout"
 	"github.com/hyssophoist/hyssophoist/internal/platform"
+	"github.com/hyssophoist/hyssophoist/internal/timing"
 )
 
 // maxRevisionAttempts is how many revisions CreatePreset tries if other operators keep taking the next one.
@@ -130,7 +131,7 @@
 		if _, err := s.table.Commit(ctx, writes...); err == nil {
 			return ref, true, nil
 		}
-		if !sleep(ctx, s.retryInterval) {
+		if !timing.Sleep(ctx, s.retryInterval) {
 			return ref, false, errkind.New(errkind.OutcomeUnknown,
 				"preset %s may or may not have been stored: the platform gave no response within %s", ref, s.resolveTimeout)
 		}
--- a/internal/configstore/store.go
+++ b/internal/configstore/store.go
@@ -15,6 +15,7 @@
 	"github.com/hyssophoist/hyssophoist/core/rollout"
 	"github.com/hyssophoist/hyssophoist/internal/logging"
 	"github.com/hyssophoist/hyssophoist/internal/platform"
+	"github.com/hyssophoist/hyssophoist/internal/timing"
 )
 
 const (
@@ -185,7 +186,7 @@
 		if _, err := s.table.Commit(ctx, writes...); err == nil {
 			return &Accepted{Version: after.Version, Current: after}, nil
 		}
-		if !sleep(ctx, s.retryInterval) {
+		if !timing.Sleep(ctx, s.retryInterval) {
 			return nil, errkind.New(errkind.OutcomeUnknown,
 				"change %s may or may not have taken effect: the platform gave no response within %s", change.ID, s.resolveTimeout)
 		}
@@ -241,15 +242,3 @@
 	}
 	return record.Version
 }
-
-// sleep waits for the duration or until ctx ends. It reports false if ctx ended first.
-func sleep(ctx context.Context, duration time.Duration) bool {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/configsync/loads.go
+++ b/internal/configsync/loads.go
@@ -10,6 +10,7 @@
 	"github.com/hyssophoist/hyssophoist/core/peerset"
 	"github.com/hyssophoist/hyssophoist/core/rollout"
 	"github.com/hyssophoist/hyssophoist/internal/peer"
+	"github.com/hyssophoist/hyssophoist/internal/timing"
 )
 
 const (
@@ -93,7 +94,7 @@
 
 // sendLoadsPeriodically sends load summaries to all zone peers, to which they also serve as heartbeats.
 func (a *Agent) sendLoadsPeriodically(ctx context.Context) {
-	for sleep(ctx, a.LoadsPeriod()) {
+	for timing.Sleep(ctx, a.LoadsPeriod()) {
 		a.sendLoads()
 	}
 }
@@ -192,7 +193,7 @@
 			}
 			nextInfrequentRead = time.Now().Add(infrequentReadDelay(failures))
 		}
-		if !sleep(ctx, wait) {
+		if !timing.Sleep(ctx, wait) {
 			return
 		}
 	}
@@ -258,15 +259,3 @@
 	a.mu.Unlock()
 	a.options.OnInstances(message.InstancesListed{Instances: list})
 }
-
-// sleep waits for the duration and reports true, or false if the context ends first.
-func sleep(ctx context.Context, duration time.Duration) bool {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/controlplane/controlplane.go
+++ b/internal/controlplane/controlplane.go
@@ -25,6 +25,7 @@
 	"github.com/hyssophoist/hyssophoist/internal/peer"
 	"github.com/hyssophoist/hyssophoist/internal/platform"
 	"github.com/hyssophoist/hyssophoist/internal/settings"
+	"github.com/hyssophoist/hyssophoist/internal/timing"
 )
 
 const (
@@ -275,10 +276,7 @@
 			return
 		}
 		log.Warningf("failed to put preset %q in force: %v", c.options.Preset.Name, err)
-		select {
-		case <-time.After(bootstrapRetryDelay):
-		case <-ctx.Done():
-		}
+		timing.Sleep(ctx, bootstrapRetryDelay)
 	}
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -28,6 +28,7 @@
 	"github.com/hyssophoist/hyssophoist/internal/platform"
 	"github.com/hyssophoist/hyssophoist/internal/service"
 	"github.com/hyssophoist/hyssophoist/internal/settings"
+	"github.com/hyssophoist/hyssophoist/internal/timing"
 )
 
 const (
@@ -204,12 +205,8 @@
 func (d *Daemon) Drain(ctx context.Context) error {
 	d.draining.Store(true)
 	log.Infof("draining: daemon is no longer ready, new requests will be refused in %s", max(0, d.options.DrainDelay))
-	if d.options.DrainDelay > 0 {
-		select {
-		case <-time.After(d.options.DrainDelay):
-		case <-ctx.Done():
-			return ctx.Err()
-		}
+	if d.options.DrainDelay > 0 && !timing.Sleep(ctx, d.options.DrainDelay) {
+		return ctx.Err()
 	}
 	d.stopping.Store(true)
 	d.Loop.Post(message.StopRequested{})
--- a/internal/loadshare/members.go
+++ b/internal/loadshare/members.go
@@ -10,6 +10,7 @@
 	"github.com/hyssophoist/hyssophoist/api/platformapi"
 	"github.com/hyssophoist/hyssophoist/core/loadshare"
 	"github.com/hyssophoist/hyssophoist/internal/platform"
+	"github.com/hyssophoist/hyssophoist/internal/timing"
 )
 
 const (
@@ -54,19 +55,11 @@
 		case <-time.After(wait):
 		case <-s.restored:
 			registered = false
-			sleep(ctx, time.Duration(rand.Float64()*float64(relistSpread)))
+			timing.Sleep(ctx, time.Duration(rand.Float64()*float64(relistSpread)))
 		}
 	}
 }
 
-// sleep returns after d or when ctx is done.
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
-
 // StoreRestored makes this instance write its entry again if the list of instances lacks it: the store has come back from
 // an older copy of its content.
 func (s *Sharer) StoreRestored() {
--- a/internal/postingstore/cleanup.go
+++ b/internal/postingstore/cleanup.go
@@ -12,6 +12,7 @@
 	"github.com/hyssophoist/hyssophoist/core/errkind"
 	"github.com/hyssophoist/hyssophoist/core/posting"
 	"github.com/hyssophoist/hyssophoist/internal/platform"
+	"github.com/hyssophoist/hyssophoist/internal/timing"
 )
 
 const (
@@ -40,12 +41,7 @@
 // cleanupMaxPages pages, and stops early if another daemon is handling them. With 410 daemons and an interval of a
 // minute, the checks of the cursor cost 7 reads/s.
 func (r *Runner) RunCleanup(ctx context.Context, interval time.Duration) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-time.After(interval/2 + rand.N(interval)):
-		}
+	for timing.Sleep(ctx, interval/2+rand.N(interval)) {
 		for range cleanupMaxPages {
 			handled, err := r.CleanUpPage(ctx)
 			if err != nil {
@@ -54,10 +50,8 @@
 			if err != nil || !handled {
 				break
 			}
-			select {
-			case <-ctx.Done():
+			if !timing.Sleep(ctx, cleanupPageInterval) {
 				return
-			case <-time.After(cleanupPageInterval):
 			}
 		}
 	}
