--- a/internal/emulator/edgeplatform/serving.go
+++ b/internal/emulator/edgeplatform/serving.go
@@ -10,6 +10,9 @@
 	"time"
 )
 
+// eventInterval is the time between two events of a stream.
+const eventInterval = 5 * time.Millisecond
+
 func (t *Target) serve(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
