Share the HTTP transport of the clients of targets

Cause: internal/engine and internal/service each had a function newTransport with the same six settings, and the same constants for the timeout of a connection, the lifetime of an idle one and their number; only engine gave the reason for the number.

Change: targethttp.NewTransport serves both. The number of idle connections for calls to engines other than streams, 4, has a name now. No setting changes.

--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -7,7 +7,6 @@
 	"encoding/json"
 	"errors"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
@@ -19,17 +18,15 @@
 	"github.com/hyssophoist/hyssophoist/api/engineapi"
 	"github.com/hyssophoist/hyssophoist/core/entity"
 	"github.com/hyssophoist/hyssophoist/core/errkind"
+	"github.com/hyssophoist/hyssophoist/internal/targethttp"
 )
 
 const (
 	// DefaultCallTimeout bounds one call other than a stream.
 	DefaultCallTimeout = time.Second
 
-	dialTimeout     = time.Second
-	idleConnTimeout = 30 * time.Second
-	// maxIdlePerTarget is high enough to keep connections open between bursts; the platform's servers allow several
-	// thousand connections each.
-	maxIdlePerTarget = 64
+	// maxIdleForCalls bounds the idle connections to an engine for calls other than streams.
+	maxIdleForCalls = 4
 
 	maxReplyBytes = 8 << 20
 	maxKVBytes    = 1 << 30
@@ -65,7 +62,7 @@
 		timeout:          options.CallTimeout,
 		onRejected:       options.OnRejected,
 		now:              options.Now,
-		callTransport:    newTransport(4),
+		callTransport:    targethttp.NewTransport(maxIdleForCalls),
 		streamTransports: make(map[string]*http.Transport),
 	}
 	if c.timeout == 0 {
@@ -80,25 +77,12 @@
 	return c
 }
 
-func newTransport(maxIdlePerHost int) *http.Transport {
-	protocols := new(http.Protocols)
-	protocols.SetHTTP1(true)
-	return &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
-		TLSHandshakeTimeout: dialTimeout,
-		MaxIdleConnsPerHost: maxIdlePerHost,
-		IdleConnTimeout:     idleConnTimeout,
-		DisableCompression:  true,
-		Protocols:           protocols,
-	}
-}
-
 func (c *Client) streamTransport(baseURL string) *http.Transport {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	transport, ok := c.streamTransports[baseURL]
 	if !ok {
-		transport = newTransport(maxIdlePerTarget)
+		transport = targethttp.NewTransport(targethttp.MaxIdlePerTarget)
 		c.streamTransports[baseURL] = transport
 	}
 	return transport
--- a/internal/service/client.go
+++ b/internal/service/client.go
@@ -6,7 +6,6 @@
 	"context"
 	"errors"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptrace"
 	"net/textproto"
@@ -16,16 +15,11 @@
 
 	"github.com/hyssophoist/hyssophoist/api/engineapi"
 	"github.com/hyssophoist/hyssophoist/core/errkind"
+	"github.com/hyssophoist/hyssophoist/internal/targethttp"
 )
 
-const (
-	// MaxResponseBytes bounds the body of a response.
-	MaxResponseBytes = 16 << 20
-
-	dialTimeout      = time.Second
-	idleConnTimeout  = 30 * time.Second
-	maxIdlePerTarget = 64
-)
+// MaxResponseBytes bounds the body of a response.
+const MaxResponseBytes = 16 << 20
 
 // Call is one call of a service.
 type Call struct {
@@ -57,24 +51,12 @@
 
 // NewClient returns a client for services.
 func NewClient() *Client {
-	pooled, unpooled := newTransport(), newTransport()
+	pooled := targethttp.NewTransport(targethttp.MaxIdlePerTarget)
+	unpooled := targethttp.NewTransport(targethttp.MaxIdlePerTarget)
 	unpooled.DisableKeepAlives = true
 	return &Client{pooled: pooled, unpooled: unpooled}
 }
 
-func newTransport() *http.Transport {
-	protocols := new(http.Protocols)
-	protocols.SetHTTP1(true)
-	return &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
-		TLSHandshakeTimeout: dialTimeout,
-		MaxIdleConnsPerHost: maxIdlePerTarget,
-		IdleConnTimeout:     idleConnTimeout,
-		DisableCompression:  true,
-		Protocols:           protocols,
-	}
-}
-
 // CloseIdle closes the idle connections. It is called after a connection has stopped responding.
 func (c *Client) CloseIdle() { c.pooled.CloseIdleConnections() }
 
