Run TestRandomisedRollout on virtualtime.Scheduler

Cause: the test had an event queue of its own, with the heap, the order and the numbers of events of core/virtualtime.

Change: it uses virtualtime.Scheduler, which runs events in the same order (by time, then in the order in which they were added). An empty queue fails the test with its seed instead of a panic in container/heap. No check changes.

--- a/core/rollout/random_test.go
+++ b/core/rollout/random_test.go
@@ -1,7 +1,6 @@
 package rollout_test
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"strconv"
@@ -12,6 +11,7 @@
 	"github.com/hyssophoist/hyssophoist/core/entity"
 	"github.com/hyssophoist/hyssophoist/core/peerset"
 	"github.com/hyssophoist/hyssophoist/core/rollout"
+	"github.com/hyssophoist/hyssophoist/core/virtualtime"
 	"github.com/hyssophoist/hyssophoist/internal/testenv"
 )
 
@@ -25,25 +25,8 @@
 	maxConsecutiveLosses = 3 // more would act as a partition that checkConverged does not know of
 )
 
-type event struct {
-	at  time.Time
-	seq int
-	run func()
-}
-
-type queue []event
-
-func (q queue) Len() int { return len(q) }
-func (q queue) Less(i, j int) bool {
-	return q[i].at.Before(q[j].at) || q[i].at.Equal(q[j].at) && q[i].seq < q[j].seq
-}
-func (q queue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *queue) Push(x any)   { *q = append(*q, x.(event)) }
-func (q *queue) Pop() any {
-	last := (*q)[len(*q)-1]
-	*q = (*q)[:len(*q)-1]
-	return last
-}
+// epoch is the wall-clock time at which the simulation starts.
+var epoch = time.Unix(1e9, 0)
 
 // daemon is a simulated daemon. generation increases at each stop and start, so that late replies can be discarded.
 type daemon struct {
@@ -70,9 +53,7 @@
 type cluster struct {
 	t              *testing.T
 	rand           *rand.Rand
-	now            time.Time
-	events         queue
-	seq            int
+	scheduler      virtualtime.Scheduler
 	daemons        []*daemon
 	linked         [zones + 1][zones + 1]bool
 	connectedSince [zones + 1][zones + 1]time.Time
@@ -84,10 +65,7 @@
 	failed         string
 }
 
-func (c *cluster) after(d time.Duration, run func()) {
-	c.seq++
-	heap.Push(&c.events, event{c.now.Add(d), c.seq, run})
-}
+func (c *cluster) now() time.Time { return epoch.Add(c.scheduler.Now()) }
 
 func (c *cluster) fail(format string, args ...any) {
 	if c.failed == "" {
@@ -101,7 +79,7 @@
 
 func (c *cluster) link(i, j int, up bool) {
 	if up && !c.linked[i][j] {
-		c.connectedSince[i][j], c.connectedSince[j][i] = c.now, c.now
+		c.connectedSince[i][j], c.connectedSince[j][i] = c.now(), c.now()
 	}
 	c.linked[i][j], c.linked[j][i] = up, up
 }
@@ -122,17 +100,17 @@
 		return false
 	}
 	c.losses[key]++
-	c.lastLoss[key] = c.now
+	c.lastLoss[key] = c.now()
 	return true
 }
 
 func (c *cluster) start(i int) {
 	d := c.daemons[i]
-	d.up, d.upSince, d.version = true, c.now, 0
+	d.up, d.upSince, d.version = true, c.now(), 0
 	d.generation++
 	d.heldSince = map[uint64]time.Time{}
 	self := peerset.Info{
-		ID: d.id, Zone: entity.ZoneID(fmt.Sprint(d.zone)), Address: string(d.id), Incarnation: uint64(c.now.UnixNano()),
+		ID: d.id, Zone: entity.ZoneID(fmt.Sprint(d.zone)), Address: string(d.id), Incarnation: uint64(c.now().UnixNano()),
 	}
 	d.peers = peerset.New(peerset.Options{Self: self, Rand: c.rand})
 	d.zonePeersAtStart = map[*daemon]processVersion{}
@@ -140,7 +118,7 @@
 		if other == d {
 			continue
 		}
-		d.peers.AddSeed(c.now, string(other.id), entity.ZoneID(fmt.Sprint(other.zone)))
+		d.peers.AddSeed(c.now(), string(other.id), entity.ZoneID(fmt.Sprint(other.zone)))
 		if other.zone == d.zone && other.up {
 			d.zonePeersAtStart[other] = processVersion{other.generation, other.version}
 		}
@@ -156,15 +134,15 @@
 	}
 	if count%10 == 0 {
 		d.peers.IncrementHeartbeat(d.version, true)
-		for _, id := range d.peers.ZonePeers(c.now) {
+		for _, id := range d.peers.ZonePeers(c.now()) {
 			c.call(i, id, func(to *daemon) func() {
-				to.peers.MergeDirect(c.now, d.peers.Self())
+				to.peers.MergeDirect(c.now(), d.peers.Self())
 				return func() {}
 			}, func() {})
 		}
 	}
 	c.step(i)
-	c.after(100*time.Millisecond, func() { c.tick(i, generation, count+1) })
+	c.scheduler.After(100*time.Millisecond, func() { c.tick(i, generation, count+1) })
 }
 
 // call delivers a request, possibly twice, and its reply. handle runs at the receiver and returns the function that
@@ -182,7 +160,7 @@
 		if repeated || c.loseMessage(from, receiverIndex) {
 			return
 		}
-		c.after(c.delay(), func() {
+		c.scheduler.After(c.delay(), func() {
 			if waiting() && c.connected(caller.zone, receiver.zone) {
 				done = true
 				answer()
@@ -190,12 +168,12 @@
 		})
 	}
 	if !c.loseMessage(from, receiverIndex) {
-		c.after(c.delay(), func() { deliver(false) })
+		c.scheduler.After(c.delay(), func() { deliver(false) })
 	}
 	if c.rand.IntN(20) == 0 {
-		c.after(2*c.delay(), func() { deliver(true) })
+		c.scheduler.After(2*c.delay(), func() { deliver(true) })
 	}
-	c.after(callTimeout, func() {
+	c.scheduler.After(callTimeout, func() {
 		if waiting() {
 			caller.peers.RecordFailedCall(id)
 			failed()
@@ -212,9 +190,9 @@
 
 func (c *cluster) step(i int, inputs ...rollout.Input) {
 	d := c.daemons[i]
-	commands := append([]rollout.Command{}, d.rollout.Step(c.now, inputs...)...)
+	commands := append([]rollout.Command{}, d.rollout.Step(c.now(), inputs...)...)
 	if held := heldVersion(d); held != 0 && d.heldSince[held].IsZero() {
-		d.heldSince[held] = c.now
+		d.heldSince[held] = c.now()
 		d.highestHeld = max(d.highestHeld, held)
 	}
 	for _, command := range commands {
@@ -238,13 +216,13 @@
 			c.step(i, result)
 		}
 	}
-	c.after(c.delay(), func() {
+	c.scheduler.After(c.delay(), func() {
 		if !c.connected(d.zone, zones) || c.loseMessage(i, len(c.daemons)) {
-			c.after(callTimeout, func() { finish(rollout.PlatformRead{Failed: true}) })
+			c.scheduler.After(callTimeout, func() { finish(rollout.PlatformRead{Failed: true}) })
 			return
 		}
 		record := c.tableRecord
-		c.after(c.delay(), func() { finish(rollout.PlatformRead{Record: record}) })
+		c.scheduler.After(c.delay(), func() { finish(rollout.PlatformRead{Record: record}) })
 	})
 }
 
@@ -252,16 +230,16 @@
 	d := c.daemons[i]
 	self, held := d.peers.Self(), heldVersion(d)
 	peer := d.peers.Get(command.To)
-	sample := d.peers.Sample(c.now, peer.Zone, 3, 15)
+	sample := d.peers.Sample(c.now(), peer.Zone, 3, 15)
 	c.call(i, command.To, func(to *daemon) func() {
-		to.peers.MergeDirect(c.now, self)
-		to.peers.Merge(c.now, self.Version, sample)
+		to.peers.MergeDirect(c.now(), self)
+		to.peers.Merge(c.now(), self.Version, sample)
 		c.step(c.index(to), rollout.PeerCalled{Peer: self.ID, Incarnation: self.Incarnation, Version: held})
-		answer, news, record := to.peers.Self(), to.peers.Sample(c.now, self.Zone, 3, 15), to.rollout.Held()
+		answer, news, record := to.peers.Self(), to.peers.Sample(c.now(), self.Zone, 3, 15), to.rollout.Held()
 		version := heldVersion(to)
 		return func() {
-			d.peers.MergeDirect(c.now, answer)
-			d.peers.Merge(c.now, answer.Version, news)
+			d.peers.MergeDirect(c.now(), answer)
+			d.peers.Merge(c.now(), answer.Version, news)
 			d.peers.RemoveSeed(command.To)
 			if version > held {
 				c.step(i, rollout.RecordAvailable{Record: record, Peer: answer.ID, Incarnation: answer.Incarnation})
@@ -275,11 +253,11 @@
 	d := c.daemons[i]
 	self, sent := d.peers.Self(), command.Record.Version
 	c.call(i, command.To, func(to *daemon) func() {
-		to.peers.MergeDirect(c.now, self)
+		to.peers.MergeDirect(c.now(), self)
 		c.step(c.index(to), rollout.RecordAvailable{Record: command.Record, Peer: self.ID, Incarnation: self.Incarnation})
 		answer, version := to.peers.Self(), heldVersion(to)
 		return func() {
-			d.peers.MergeDirect(c.now, answer)
+			d.peers.MergeDirect(c.now(), answer)
 			c.step(i, rollout.PeerAnswered{
 				Peer: command.To, Incarnation: answer.Incarnation, Version: version, Announced: sent,
 			})
@@ -308,8 +286,8 @@
 		}
 	}
 	since := d.heldSince[record.Version]
-	if c.now.Sub(since) < rollout.DefaultAnnounceTimeout {
-		for _, id := range d.peers.ZonePeers(c.now) {
+	if c.now().Sub(since) < rollout.DefaultAnnounceTimeout {
+		for _, id := range d.peers.ZonePeers(c.now()) {
 			other := c.daemons[int(id[1]-'0')]
 			if other.up && other.upSince.Before(since) && other.highestHeld < record.Version {
 				c.fail("%s puts version %d in force before %s has received it", d.id, record.Version, id)
@@ -331,12 +309,12 @@
 		version = c.tableRecord.Version + 1
 	}
 	c.tableRecord = &rollout.Record{Version: version}
-	record, written := c.tableRecord, c.now
-	c.after(convergenceTime, func() { c.checkConverged(version, written) })
+	record, written := c.tableRecord, c.now()
+	c.scheduler.After(convergenceTime, func() { c.checkConverged(version, written) })
 	if c.rand.IntN(4) == 0 {
 		return
 	}
-	c.after(c.delay(), func() {
+	c.scheduler.After(c.delay(), func() {
 		if d.up && d.generation == generation {
 			c.step(i, rollout.RecordAvailable{Record: record, Source: rollout.FromWrite})
 			c.checkPushLater(i, version)
@@ -347,16 +325,16 @@
 // checkPushLater checks after 3 s that a daemon that has written a version has delivered it to each live zone peer and
 // to one daemon of each other zone, if no message between them was lost.
 func (c *cluster) checkPushLater(i int, version uint64) {
-	writer, begin := c.daemons[i], c.now
+	writer, begin := c.daemons[i], c.now()
 	generation := writer.generation
 	var receivers [zones][]*daemon
 	for _, d := range c.daemons {
 		peer := writer.peers.Get(d.id)
-		if peer != nil && writer.peers.Live(c.now, peer) {
+		if peer != nil && writer.peers.Live(c.now(), peer) {
 			receivers[d.zone] = append(receivers[d.zone], d)
 		}
 	}
-	c.after(pushTime, func() {
+	c.scheduler.After(pushTime, func() {
 		if !writer.up || writer.generation != generation {
 			return
 		}
@@ -415,7 +393,7 @@
 		c.outage = c.rand.IntN(3) == 0
 		if before && !c.outage {
 			for zone := range zones {
-				c.connectedSince[zone][zones], c.connectedSince[zones][zone] = c.now, c.now
+				c.connectedSince[zone][zones], c.connectedSince[zones][zone] = c.now(), c.now()
 			}
 		}
 	case 4, 5:
@@ -423,7 +401,7 @@
 	default:
 		c.write(c.rand.IntN(len(c.daemons)))
 	}
-	c.after(time.Duration(c.rand.IntN(8000))*time.Millisecond, c.injectFault)
+	c.scheduler.After(time.Duration(c.rand.IntN(8000))*time.Millisecond, c.injectFault)
 }
 
 // restartConnectedToStaleZone restarts a daemon whose zone is cut off from the platform just as a zone that has missed
@@ -437,7 +415,7 @@
 	c.link(writer, zone, true)
 	c.link(writer, zones, true)
 	c.write(writer)
-	c.after(3*time.Second, func() {
+	c.scheduler.After(3*time.Second, func() {
 		c.link(zone, writer, false)
 		c.link(zone, zones, false)
 		c.link(stale, zone, true)
@@ -453,7 +431,7 @@
 	d.up = false
 	d.generation++
 	c.restarts++
-	c.after(pause, func() { c.start(i) })
+	c.scheduler.After(pause, func() { c.start(i) })
 }
 
 // Guards against a running daemon whose version decreases, a daemon that restarts in a partitioned zone with a lower
@@ -461,7 +439,7 @@
 // are delayed, lost and repeated, zones are cut off, daemons restart and the platform fails.
 func TestRandomisedRollout(t *testing.T) {
 	seed, steps := testenv.Seed(t, 1), testenv.Steps(t, 1_000_000)
-	c := &cluster{t: t, rand: rand.New(rand.NewPCG(seed, 0)), now: time.Unix(1e9, 0), losses: map[[2]int]int{},
+	c := &cluster{t: t, rand: rand.New(rand.NewPCG(seed, 0)), losses: map[[2]int]int{},
 		lastLoss: map[[2]int]time.Time{}}
 	for i := range zones * zoneDaemons {
 		c.daemons = append(c.daemons, &daemon{id: entity.DaemonID(fmt.Sprintf("d%d", i)), zone: i % zones})
@@ -474,19 +452,18 @@
 	for i := range c.daemons {
 		c.start(i)
 	}
-	c.after(time.Second, c.injectFault)
-	begin := c.now
+	c.scheduler.After(time.Second, c.injectFault)
 	for step := range steps {
-		next := heap.Pop(&c.events).(event)
-		c.now = next.at
-		next.run()
+		if !c.scheduler.Step() {
+			t.Fatalf("HYSSOPHOIST_SEED=%d HYSSOPHOIST_STEPS=%d: step %d: no events are left", seed, steps, step)
+		}
 		if c.failed != "" {
 			t.Fatalf("HYSSOPHOIST_SEED=%d HYSSOPHOIST_STEPS=%d: step %d, virtual time %s: %s",
-				seed, steps, step, c.now.Sub(begin), c.failed)
+				seed, steps, step, c.scheduler.Now(), c.failed)
 		}
 	}
 	if c.tableRecord == nil || c.restarts == 0 {
 		t.Fatalf("HYSSOPHOIST_SEED=%d HYSSOPHOIST_STEPS=%d: %d restarts; want restarts and changes", seed, steps, c.restarts)
 	}
-	t.Logf("%d steps, virtual time %s, %d changes, %d restarts", steps, c.now.Sub(begin), c.tableRecord.Version, c.restarts)
+	t.Logf("%d steps, virtual time %s, %d changes, %d restarts", steps, c.scheduler.Now(), c.tableRecord.Version, c.restarts)
 }
