--- a/internal/edge/begun_test.go
+++ b/internal/edge/begun_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net/http"
 	"slices"
 	"testing"
 	"time"
@@ -181,12 +180,3 @@
 	}
 	return count
 }
-
-// checkWholeStream fails the test unless the result is that of a whole stream.
-func (d *deployment) checkWholeStream(got result) {
-	d.t.Helper()
-	if got.status != http.StatusOK || got.err != nil {
-		d.t.Fatalf("stream: %+v", got)
-	}
-	checkEvents(d.t, got.body)
-}
--- a/internal/edge/deployment_test.go
+++ b/internal/edge/deployment_test.go
@@ -258,6 +258,15 @@
 	}
 }
 
+// checkWholeStream fails the test unless the result is that of a whole stream.
+func (d *deployment) checkWholeStream(got result) {
+	d.t.Helper()
+	if got.status != http.StatusOK || got.err != nil {
+		d.t.Fatalf("stream: %+v", got)
+	}
+	checkEvents(d.t, got.body)
+}
+
 // runsOf returns the runs of a request at all targets.
 func (d *deployment) runsOf(id string) (runs []edgeplatform.Run) {
 	for _, target := range append(d.engines, d.plain...) {
@@ -269,3 +278,13 @@
 	}
 	return runs
 }
+
+// runsThrough returns the runs of a stream on paths that contain the engine.
+func (d *deployment) runsThrough(engine *edgeplatform.Target, id string) (runs []edgeplatform.Run) {
+	for _, run := range d.runsOf(id) {
+		if strings.Contains(run.Hops, engine.Address()+"=") {
+			runs = append(runs, run)
+		}
+	}
+	return runs
+}
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -24,10 +24,7 @@
 		}
 	}
 	got := d.stream(daemon, "s1")
-	if got.status != http.StatusOK || got.err != nil {
-		t.Fatalf("stream: %+v", got)
-	}
-	checkEvents(t, got.body)
+	d.checkWholeStream(got)
 	got = d.call(daemon, http.MethodPost, "/post/a%2Fb?x=1&y", "p1", "key-1", "amount=3")
 	if got.status != http.StatusOK || got.body != "answer to p1" || got.stamp == "" {
 		t.Fatalf("posting: %+v", got)
@@ -132,11 +129,7 @@
 				engine.SetFaults(faults)
 			}
 			sent := time.Now()
-			got := d.stream(daemon, "s-"+name)
-			if got.status != http.StatusOK || got.err != nil {
-				t.Fatalf("stream: %+v", got)
-			}
-			checkEvents(t, got.body)
+			d.checkWholeStream(d.stream(daemon, "s-"+name))
 			if took := time.Since(sent); took >= callerIdleTimeout {
 				t.Errorf("the stream took %v, a caller abandons it after %v without an event", took, callerIdleTimeout)
 			}
@@ -353,11 +346,7 @@
 		return countHeldLayers([]*edgeplatform.Target{spare, d.engines[1]}) == modelLayers
 	})
 	d.register(spare, "ready")
-	got := d.stream(daemon, "after")
-	if got.status != http.StatusOK || got.err != nil {
-		t.Fatalf("stream: %+v", got)
-	}
-	checkEvents(t, got.body)
+	d.checkWholeStream(d.stream(daemon, "after"))
 }
 
 // TestIdleDeploymentMakesFewStoreCalls guards against frequent calls to the store, such as lease renewals and polls of
--- a/internal/edge/leaving_test.go
+++ b/internal/edge/leaving_test.go
@@ -102,15 +102,9 @@
 	})
 	for end := time.Now().Add(2 * leavingBound); time.Now().Before(end); {
 		id := fmt.Sprint("after", time.Now().UnixNano())
-		got := d.stream(daemon, id)
-		if got.status != http.StatusOK || got.err != nil {
-			t.Fatalf("stream: %+v", got)
-		}
-		checkEvents(t, got.body)
-		for _, run := range d.runsOf(id) {
-			if strings.Contains(run.Hops, first.Address()+"=") {
-				t.Fatalf("a stream was sent through the leaving engine: %s", run.Hops)
-			}
+		d.checkWholeStream(d.stream(daemon, id))
+		if runs := d.runsThrough(first, id); len(runs) > 0 {
+			t.Fatalf("a stream was sent through the leaving engine: %s", runs[0].Hops)
 		}
 	}
 }
@@ -124,11 +118,7 @@
 	d.addSpare(daemon, 8, "a", second)
 	setLeaving(true, second)
 	first.SetFaults(edgeplatform.TargetFaults{StallAfter: 5, WaitFor: second.Address()}) // so that its report is read
-	got := d.stream(daemon, "stalled")
-	if got.status != http.StatusOK || got.err != nil {
-		t.Fatalf("stream: %+v", got)
-	}
-	checkEvents(t, got.body)
+	d.checkWholeStream(d.stream(daemon, "stalled"))
 	d.waitUntil("the engine is known to leave", func() bool { return daemon.leavesByResponse(second.ID) })
 }
 
--- a/internal/edge/reroute_test.go
+++ b/internal/edge/reroute_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"net/http"
-	"strings"
 	"testing"
 	"time"
 
@@ -47,11 +46,7 @@
 				second.Close()
 			}
 			sent := time.Now()
-			got := d.stream(daemon, "s1")
-			if got.status != http.StatusOK || got.err != nil {
-				t.Fatalf("stream: %+v", got)
-			}
-			checkEvents(t, got.body)
+			d.checkWholeStream(d.stream(daemon, "s1"))
 			if took := time.Since(sent); took >= callerIdleTimeout {
 				t.Errorf("the stream took %v, a caller abandons it after %v without an event", took, callerIdleTimeout)
 			}
@@ -75,11 +70,7 @@
 	refusing := d.addSpare(daemon, 8, "a", second).Address()
 	first.SetFaults(edgeplatform.TargetFaults{StallAfter: 5, WaitFor: second.Address(), RefuseReroutesVia: refusing})
 	second.Close()
-	got := d.stream(daemon, "s1")
-	if got.status != http.StatusOK || got.err != nil {
-		t.Fatalf("stream: %+v", got)
-	}
-	checkEvents(t, got.body)
+	d.checkWholeStream(d.stream(daemon, "s1"))
 	if reroutes := first.Reroutes(); len(reroutes) != 0 {
 		t.Errorf("paths ordered: %v", reroutes)
 	}
@@ -143,11 +134,7 @@
 	if took := time.Since(changed); took > minCoalesceInterval+time.Second {
 		t.Errorf("the stream was rerouted after %v", took)
 	}
-	result := <-got
-	if result.status != http.StatusOK || result.err != nil {
-		t.Fatalf("stream: %+v", result)
-	}
-	checkEvents(t, result.body)
+	d.checkWholeStream(<-got)
 	if runs := d.runsOf("s1"); len(runs) != 1 {
 		t.Errorf("%d runs", len(runs))
 	}
@@ -170,10 +157,8 @@
 		if got := d.stream(daemon, id); got.status != http.StatusOK {
 			t.Fatalf("stream: %+v", got)
 		}
-		for _, run := range d.runsOf(id) {
-			if strings.Contains(run.Hops, second.Address()+"=") {
-				t.Fatalf("a stream was sent through the lost engine: %s", run.Hops)
-			}
+		if runs := d.runsThrough(second, id); len(runs) > 0 {
+			t.Fatalf("a stream was sent through the lost engine: %s", runs[0].Hops)
 		}
 	}
 }
@@ -195,11 +180,7 @@
 		if got := d.stream(daemon, id); got.status != http.StatusOK {
 			t.Fatalf("stream: %+v", got)
 		}
-		for _, run := range d.runsOf(id) {
-			if strings.Contains(run.Hops, spare.Address()+"=") {
-				spareRuns++
-			}
-		}
+		spareRuns += len(d.runsThrough(spare, id))
 	}
 	// 40 streams take six seconds. The engine is suspected for 0.5, 1, 2 and 4 s in turn, so the suspicion expires
 	// three times.
--- a/internal/edge/silence_test.go
+++ b/internal/edge/silence_test.go
@@ -36,10 +36,7 @@
 				target.SetFaults(edgeplatform.TargetFaults{SilentFor: test.silentFor, SilentAfter: test.silentAfter})
 			}
 			got := d.stream(daemon, "s1")
-			if got.status != http.StatusOK || got.err != nil {
-				t.Fatalf("stream: %+v", got)
-			}
-			checkEvents(t, got.body)
+			d.checkWholeStream(got)
 			got = d.call(daemon, http.MethodPost, "/post/1", "p1", "key-1", "x")
 			if got.status != http.StatusOK || len(d.runsOf("p1")) != 1 {
 				t.Errorf("posting: %+v, runs %+v", got, d.runsOf("p1"))
