Run the simulation of the benchmarks on virtualtime.Scheduler

Cause: core/router/benchtest had an event queue of its own beside that of core/virtualtime, with the same order of events.

Change: clock uses virtualtime.Scheduler, which gets RunUntil from it. Like the removed queue, the one of virtualtime now clears the places of popped events, so that they keep nothing alive. The field now of the clock is a method.

--- a/core/router/benchtest/daemon.go
+++ b/core/router/benchtest/daemon.go
@@ -129,7 +129,7 @@
 		s.daemon.push(message.AttemptFinished{Request: s.request.id, Attempt: s.attempt, NextPosition: s.nextPosition})
 		return
 	}
-	if wait := s.reportedAt + progressPeriod - s.sim.now; wait > 0 {
+	if wait := s.reportedAt + progressPeriod - s.sim.now(); wait > 0 {
 		if !s.flushScheduled {
 			s.flushScheduled = true
 			s.sim.after(wait, s.flush)
@@ -144,7 +144,7 @@
 	if s.silent || s.nextPosition >= s.request.output {
 		return
 	}
-	s.reportedAt = s.sim.now
+	s.reportedAt = s.sim.now()
 	hops := make([]message.HopSample, len(s.samples))
 	copy(hops, s.samples)
 	s.daemon.push(message.AttemptProgressed{Request: s.request.id, Attempt: s.attempt,
--- a/core/router/benchtest/engine.go
+++ b/core/router/benchtest/engine.go
@@ -85,7 +85,7 @@
 	if it.s.ended {
 		return
 	}
-	it.receivedAt = e.sim.now
+	it.receivedAt = e.sim.now()
 	if !it.s.holdsSlot[it.hop] {
 		if e.usedSlots >= e.slots {
 			if len(it.s.pending) == 0 {
@@ -181,17 +181,17 @@
 // next token to the first engine.
 func (s *stream) forward(e *engine, it workItem) {
 	sample := &s.samples[it.hop]
-	sample.Step = s.sim.now - it.receivedAt
+	sample.Step = s.sim.now() - it.receivedAt
 	if it.hop+1 < len(s.hops) {
 		next := s.hops[it.hop+1]
-		sent := s.sim.now
+		sent := s.sim.now()
 		it.hop++
 		it.units = float64(it.tokens)
 		if it.prefill {
 			it.units /= promptTokensPerUnit
 		}
 		s.sim.transfer(e, next, it.tokens, func() {
-			sample.Next, sample.Transfer = next.id, s.sim.now-sent
+			sample.Next, sample.Transfer = next.id, s.sim.now()-sent
 			next.receive(it)
 		})
 		return
--- a/core/router/benchtest/load.go
+++ b/core/router/benchtest/load.go
@@ -109,7 +109,7 @@
 	current := rate
 	if sim.options.Load.Bursts {
 		current = rate / 2
-		if (sim.now+offset)%burstPeriod < burstPeriod/5 {
+		if (sim.now()+offset)%burstPeriod < burstPeriod/5 {
 			current = 3 * rate
 		}
 	}
@@ -152,8 +152,8 @@
 func (sim *Simulation) send(j *job) {
 	sim.nextID++
 	j.id = entity.RequestID(fmt.Sprintf("r%d", sim.nextID))
-	j.sentAt, j.lastTokenAt = sim.now, sim.now
-	j.deadline = sim.now + sim.options.Load.Deadline
+	j.sentAt, j.lastTokenAt = sim.now(), sim.now()
+	j.deadline = sim.now() + sim.options.Load.Deadline
 	sim.jobs = append(sim.jobs, j)
 	d := sim.daemons[sim.random.IntN(len(sim.daemons))]
 	d.jobs[j.id] = j
--- a/core/router/benchtest/result.go
+++ b/core/router/benchtest/result.go
@@ -64,31 +64,31 @@
 	if sim.measuring {
 		if j.tokens == 0 {
 			j.deliveredUnits += float64(j.prompt) / promptTokensPerUnit
-			sim.result.firstTokenTimes = append(sim.result.firstTokenTimes, sim.now-j.sentAt)
+			sim.result.firstTokenTimes = append(sim.result.firstTokenTimes, sim.now()-j.sentAt)
 		} else {
-			sim.result.tokenGaps = append(sim.result.tokenGaps, sim.now-j.lastTokenAt)
+			sim.result.tokenGaps = append(sim.result.tokenGaps, sim.now()-j.lastTokenAt)
 		}
 		j.deliveredUnits++
 	}
 	sim.recordRecovery(j)
 	j.tokens++
-	j.lastTokenAt = sim.now
+	j.lastTokenAt = sim.now()
 }
 
 // recordRecovery records the time from the fault, or from a later arrival, to the next progress of an affected request.
 func (sim *Simulation) recordRecovery(j *job) {
 	if j.affected {
 		j.affected = false
-		sim.result.recoveryTimes = append(sim.result.recoveryTimes, sim.now-max(sim.faultAt, j.sentAt))
+		sim.result.recoveryTimes = append(sim.result.recoveryTimes, sim.now()-max(sim.faultAt, j.sentAt))
 	}
 }
 
 func (sim *Simulation) recordCompletion(j *job) {
 	if j.service && j.attempts > 1 && sim.measuring {
-		sim.result.recoveryTimes = append(sim.result.recoveryTimes, sim.now-j.sentAt)
+		sim.result.recoveryTimes = append(sim.result.recoveryTimes, sim.now()-j.sentAt)
 	}
 	sim.recordRecovery(j)
-	j.ended, j.metDeadline = true, sim.now <= j.deadline
+	j.ended, j.metDeadline = true, sim.now() <= j.deadline
 	sim.result.Completed++
 	if j.sendNext != nil && (sim.options.Load.ClosedLoopCallers > 0 || !j.metDeadline) {
 		j.sendNext(0)
@@ -157,7 +157,7 @@
 func (sim *Simulation) finishResult() {
 	good := 0.0
 	for _, j := range sim.jobs {
-		if j.metDeadline || !j.ended && j.deadline > sim.now {
+		if j.metDeadline || !j.ended && j.deadline > sim.now() {
 			good += j.deliveredUnits
 		}
 		sim.recordAccountWork(j)
@@ -177,7 +177,7 @@
 }
 
 func (sim *Simulation) recordAccountWork(j *job) {
-	if j.service || j.sentAt < sim.options.Warmup || j.deadline > sim.now {
+	if j.service || j.sentAt < sim.options.Warmup || j.deadline > sim.now() {
 		return
 	}
 	u := sim.accountWork(j.account)
--- a/core/router/benchtest/simulation.go
+++ b/core/router/benchtest/simulation.go
@@ -69,7 +69,7 @@
 	before := sim.workDone
 	if o.Fault != nil {
 		sim.after(o.FaultAfter, func() {
-			sim.faultAt = sim.now
+			sim.faultAt = sim.now()
 			if !o.MeasureFirstTokens {
 				sim.markAffected()
 			}
@@ -145,8 +145,8 @@
 	}
 	link := [2]int{from.index, to.index}
 	rate := linkTokensPerSecond[sim.fleet.linkClass(from.index, to.index)]
-	sim.linkFreeAt[link] = max(sim.linkFreeAt[link], sim.now) + seconds(float64(tokens)/rate)
-	sim.after(sim.linkFreeAt[link]-sim.now+latency(a, b), arrive)
+	sim.linkFreeAt[link] = max(sim.linkFreeAt[link], sim.now()) + seconds(float64(tokens)/rate)
+	sim.after(sim.linkFreeAt[link]-sim.now()+latency(a, b), arrive)
 }
 
 func (sim *Simulation) sendToDaemon(e *engine, d *daemon, arrive func()) {
--- a/core/virtualtime/virtualtime.go
+++ b/core/virtualtime/virtualtime.go
@@ -41,6 +41,14 @@
 	return true
 }
 
+// RunUntil runs the events up to and including the time end, and advances the virtual time to end.
+func (s *Scheduler) RunUntil(end time.Duration) {
+	for len(s.queue) > 0 && s.queue[0].at <= end {
+		s.Step()
+	}
+	s.now = end
+}
+
 type event struct {
 	at  time.Duration
 	seq int
@@ -57,9 +65,11 @@
 func (q queue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
 func (q *queue) Push(x any)   { *q = append(*q, x.(event)) }
 func (q *queue) Pop() any {
-	last := (*q)[len(*q)-1]
-	*q = (*q)[:len(*q)-1]
-	return last
+	last := len(*q) - 1
+	popped := (*q)[last]
+	(*q)[last] = event{} // releases what run refers to
+	*q = (*q)[:last]
+	return popped
 }
 
 // Process is a simulated process that can be paused and can crash.
