--- a/test/completion_test.go
+++ b/test/completion_test.go
@@ -1,6 +1,7 @@
 package test
 
 import (
+	"context"
 	"net/http"
 	"strings"
 	"sync"
@@ -25,10 +26,13 @@
 
 func expectedText(length int) string { return engine.ExpectedText(tokenizer.Encode(prompt), length) }
 
-// streamCompletion reads a streamed completion, calls progress after each chunk and returns the text.
-func streamCompletion(t *testing.T, d *deployment, maxTokens int, progress func(chunks int)) string {
+// readStream reads a streamed completion, calls progress after each chunk and returns the text received. The error is
+// not nil if the stream did not end normally.
+func (d *deployment) readStream(
+	ctx context.Context, params openai.CompletionNewParams, progress func(chunks int),
+) (string, error) {
 	client := d.client()
-	events := client.Completions.NewStreaming(t.Context(), completionParams(maxTokens))
+	events := client.Completions.NewStreaming(ctx, params)
 	defer events.Close()
 	var text strings.Builder
 	for chunks := 1; events.Next(); chunks++ {
@@ -37,10 +41,17 @@
 		}
 		progress(chunks)
 	}
-	if err := events.Err(); err != nil {
-		t.Errorf("stream failed after %d bytes: %v", text.Len(), err)
+	return text.String(), events.Err()
+}
+
+// streamCompletion reads a streamed completion of the constant prompt, calls progress after each chunk and returns the
+// text.
+func streamCompletion(t *testing.T, d *deployment, maxTokens int, progress func(chunks int)) string {
+	text, err := d.readStream(t.Context(), completionParams(maxTokens), progress)
+	if err != nil {
+		t.Errorf("stream failed after %d bytes: %v", len(text), err)
 	}
-	return text.String()
+	return text
 }
 
 // TestCompletionThroughThreeStages guards against a response that loses, repeats or mixes tokens on its way through the
--- a/test/paused_daemon_test.go
+++ b/test/paused_daemon_test.go
@@ -23,21 +23,10 @@
 
 // streamPrompt reads a streamed completion of the given prompt and calls progress after each chunk.
 func (m *member) streamPrompt(prompt string, length int, progress func(chunks int)) streamResult {
-	client := m.deployment().client()
 	params := completionParams(length)
 	params.Prompt = openai.CompletionNewParamsPromptUnion{OfString: openai.String(prompt)}
-	events := client.Completions.NewStreaming(m.fleet.t.Context(), params)
-	defer events.Close()
-	var text strings.Builder
-	for chunks := 1; events.Next(); chunks++ {
-		for _, choice := range events.Current().Choices {
-			text.WriteString(choice.Text)
-		}
-		progress(chunks)
-	}
-	return streamResult{
-		text: text.String(), want: engine.ExpectedText(tokenizer.Encode(prompt), length), err: events.Err(),
-	}
+	text, err := m.deployment().readStream(m.fleet.t.Context(), params, progress)
+	return streamResult{text: text, want: engine.ExpectedText(tokenizer.Encode(prompt), length), err: err}
 }
 
 // startStreams starts n streams with different prompts at a member. running is done when each stream has received five
