Say announce for the leaving header in comments

A run outcome means something instead of saying it.

Only a comment of a test changes in internal/edge, which was not run again.

--- a/internal/edge/leaving_test.go
+++ b/internal/edge/leaving_test.go
@@ -20,7 +20,7 @@
 // leavingBound is the drain bound in the settings of the daemons of tests.
 const leavingBound = 2 * time.Second
 
-// setLeaving makes targets say in their responses that they leave, or no longer.
+// setLeaving makes targets announce in their responses that they are leaving, or stops this.
 func setLeaving(leaving bool, targets ...*edgeplatform.Target) {
 	for _, target := range targets {
 		target.UpdateFaults(func(faults *edgeplatform.TargetFaults) { faults.Leaving = leaving })
--- a/internal/emulator/edgeplatform/target_faults.go
+++ b/internal/emulator/edgeplatform/target_faults.go
@@ -60,7 +60,7 @@
 	// SilentInBody makes the target fall silent for this time in the middle of the body of each response of a plain
 	// service.
 	SilentInBody time.Duration
-	// Leaving makes the target say in all its responses that it leaves.
+	// Leaving makes the target announce in all its responses that it is leaving.
 	Leaving bool
 }
 
--- a/internal/postingstore/runner.go
+++ b/internal/postingstore/runner.go
@@ -188,7 +188,7 @@
 	sendErr error
 }
 
-// Run runs a call, or returns the stored response of its key. Errors have a kind and a run outcome: NotRun says that
+// Run runs a call, or returns the stored response of its key. Errors have a kind and a run outcome: NotRun means that
 // this attempt has not run and never will; after Unknown, a later request with the key returns the final outcome.
 func (r *Runner) Run(ctx context.Context, call Call) (*Response, error) {
 	if call.Key == "" {
