Choose the next path as if the attempt had left its own

A stream whose engine has died found no next path on rather full engines, since its own attempt still counted there, and waited until its caller left. Each path that was chosen and not taken counted as a call to its engines until loads were shared next.

Cause: reserves the next path before the attempt in progress is released, and chose it before it asked whether it may be used.

Change: Dispatcher.ChooseNextPath leaves the current path out of the load and asks for suspected engines before it reserves; the retry is asked for first. The loops over a path's engines are one, addLoad.

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -6,6 +6,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"github.com/hyssophoist/hyssophoist/core/entity"
@@ -87,25 +88,59 @@
 // response are only used as a last resort.
 func (d *Dispatcher) ChoosePath(now time.Time, service *routing.Service, size GenerationSize,
 	avoid map[entity.TargetID]bool) *Path {
+	stages, backedOff := d.findStages(now, service, size, avoid)
+	if stages == nil {
+		return nil
+	}
+	return d.reserveStages(stages, size, backedOff)
+}
+
+// ChooseNextPath is like ChoosePath for the generation on the path current, as if it had left that path. usable excludes
+// paths with suspected engines.
+func (d *Dispatcher) ChooseNextPath(now time.Time, service *routing.Service, current *Path,
+	avoid map[entity.TargetID]bool, usable bool) *Path {
+	d.addLoad(current, -1)
+	defer d.addLoad(current, 1)
+	stages, backedOff := d.findStages(now, service, current.size, avoid)
+	if stages == nil || usable && d.anySuspected(now, stages) {
+		return nil
+	}
+	return d.reserveStages(stages, current.size, backedOff)
+}
+
+// findStages returns the stages of the cheapest path for a generation, or nil, and the engines that were left out as first
+// ones since they asked for time.
+func (d *Dispatcher) findStages(now time.Time, service *routing.Service, size GenerationSize,
+	avoid map[entity.TargetID]bool) (stages []Stage, backedOff bool) {
 	layers := entity.LayerRange{To: service.Engine.Layers}
 	costs := d.transferCosts(service.Engine, size)
 	leaving := d.collectNodes(now, service, size, avoid, false)
-	leftOut := d.leaveOutBackedOff(now)
-	stages := d.chooseStages(layers, d.nodes, costs)
+	backedOff = d.leaveOutBackedOff(now)
+	stages = d.chooseStages(layers, d.nodes, costs)
 	if stages == nil && leaving > 0 {
 		d.collectNodes(now, service, size, avoid, true)
-		leftOut = d.leaveOutBackedOff(now)
+		backedOff = d.leaveOutBackedOff(now)
 		stages = d.chooseStages(layers, d.nodes, costs)
 	}
-	if stages == nil {
-		return nil
-	}
+	return stages, backedOff
+}
+
+// reserveStages counts a path with these stages as in progress.
+func (d *Dispatcher) reserveStages(stages []Stage, size GenerationSize, backedOff bool) *Path {
 	path := &Path{Stages: stages, size: size}
 	d.reserve(path)
-	d.beginAttempt(&path.Stages[0].Target, leftOut)
+	d.beginAttempt(&path.Stages[0].Target, backedOff)
 	return path
 }
 
+// anySuspected reports whether one of the engines is suspected.
+func (d *Dispatcher) anySuspected(now time.Time, stages []Stage) bool {
+	return slices.ContainsFunc(stages, func(stage Stage) bool {
+		state := d.Fleet.Get(stage.Target.ID)
+		return state == nil || !state.Usable(now)
+	})
+}
+
 // chooseStages returns the cheapest stages that cover layers, or nil if no nodes with enough free KV cache do. The
 // layers of the nodes count from layers.From.
 func (d *Dispatcher) chooseStages(layers entity.LayerRange, nodes []layerpath.Node, costs layerpath.Costs) []Stage {
@@ -137,17 +172,33 @@
 
 // reserve counts a path as in progress on its engines.
 func (d *Dispatcher) reserve(path *Path) {
+	d.addLoad(path, 1)
 	for _, stage := range path.Stages {
-		state := d.Fleet.Get(stage.Target.ID)
-		if state == nil || state.Born != stage.Target.Born {
-			continue
+		if state := d.stateOf(stage); state != nil {
+			state.CallsSinceShared++
+		}
+	}
+}
+
+// addLoad adds the load of n generations on a path to its engines.
+func (d *Dispatcher) addLoad(path *Path, n int) {
+	for _, stage := range path.Stages {
+		if state := d.stateOf(stage); state != nil {
+			state.InProgress = max(0, state.InProgress+n)
+			state.CacheInUse = max(0, state.CacheInUse+float64(n)*path.cacheUse(stage))
 		}
-		state.InProgress++
-		state.CallsSinceShared++
-		state.CacheInUse += path.cacheUse(stage)
 	}
 }
 
+// stateOf returns the state of a stage's engine, or nil if it is gone or has started again.
+func (d *Dispatcher) stateOf(stage Stage) *fleet.State {
+	state := d.Fleet.Get(stage.Target.ID)
+	if state == nil || state.Born != stage.Target.Born {
+		return nil
+	}
+	return state
+}
+
 // cacheUse returns the KV cache that a generation occupies on one engine of its path, in tokens times layers.
 func (p *Path) cacheUse(stage Stage) float64 {
 	return (p.size.Prompt + p.size.Answer) * float64(stage.Layers.Len())
@@ -156,14 +207,7 @@
 // Release ends the reservation of a path.
 func (d *Dispatcher) Release(path *Path) {
 	d.Fleet.EndAttempt(&path.Stages[0].Target)
-	for _, stage := range path.Stages {
-		state := d.Fleet.Get(stage.Target.ID)
-		if state == nil || state.Born != stage.Target.Born {
-			continue
-		}
-		state.InProgress = max(0, state.InProgress-1)
-		state.CacheInUse = max(0, state.CacheInUse-path.cacheUse(stage))
-	}
+	d.addLoad(path, -1)
 }
 
 // linkTime returns how long a prompt occupies the link between two zones, in seconds.
--- a/core/dispatch/reroute.go
+++ b/core/dispatch/reroute.go
@@ -83,14 +83,6 @@
 	return d.chooseStages(gap, d.nodes[:kept], costs)
 }
 
-// Usable reports whether no engine of a path is suspected.
-func (d *Dispatcher) Usable(now time.Time, path *Path) bool {
-	return !slices.ContainsFunc(path.Stages, func(stage Stage) bool {
-		state := d.Fleet.Get(stage.Target.ID)
-		return state == nil || !state.Usable(now)
-	})
-}
-
 // Targets returns the engines of a path in order.
 func (p *Path) Targets() []fleet.Target {
 	targets := make([]fleet.Target, len(p.Stages))
--- a/internal/gateway/giveup.go
+++ b/internal/gateway/giveup.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/hyssophoist/hyssophoist/internal/timing"
 )
 
 // giveUpReason is why no further attempt of a stream was made.
@@ -54,21 +56,11 @@
 		if !s.headWritten || waited >= begunWait || ctx.Err() != nil {
 			return false
 		}
-		sleep(ctx, waitInterval)
+		timing.Sleep(ctx, waitInterval)
 	}
 	return true
 }
 
-// sleep waits for d or until ctx ends.
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // idle returns the time since the last event, or since the arrival of the request if there was none.
 func (s *stream) idle() time.Duration {
 	if s.events == 0 {
--- a/internal/gateway/nextpath.go
+++ b/internal/gateway/nextpath.go
@@ -9,6 +9,7 @@
 	"github.com/hyssophoist/hyssophoist/core/entity"
 	"github.com/hyssophoist/hyssophoist/core/fleet"
 	"github.com/hyssophoist/hyssophoist/internal/boottime"
+	"github.com/hyssophoist/hyssophoist/internal/timing"
 )
 
 // awaitPath returns a reserved path. If engines are missing or have just refused the stream, it waits up to pathTimeout
@@ -27,7 +28,7 @@
 		s.gateway.mu.Lock()
 		clear(s.avoid)
 		s.gateway.mu.Unlock()
-		sleep(ctx, waitInterval)
+		timing.Sleep(ctx, waitInterval)
 	}
 }
 
@@ -53,22 +54,18 @@
 	if attempt.Err() != nil || s.retryReserved || s.next != nil || s.path == nil {
 		return false
 	}
-	path := s.chooseNext(faulty)
-	if path == nil {
-		return false
-	}
 	window, now, instances := g.retryState(s.service.ID)
-	if usable && !g.dispatcher.Usable(boottime.Now(), path) || !window.TryAcquire(now, instances) {
-		g.dispatcher.Release(path)
+	if !window.Allows(now, instances) {
 		return false
 	}
-	s.next, s.retryReserved = path, true
-	return true
+	s.next = s.chooseNext(faulty, usable)
+	s.retryReserved = s.next != nil && window.TryAcquire(now, instances)
+	return s.retryReserved
 }
 
 // chooseNext chooses and reserves a path without the faulty engines, or, if none is known to be faulty, one without any
 // engine of the path in progress if there is such a path. The caller holds gateway.mu.
-func (s *stream) chooseNext(faulty []fleet.Target) *dispatch.Path {
+func (s *stream) chooseNext(faulty []fleet.Target, usable bool) *dispatch.Path {
 	required := make(map[entity.TargetID]bool)
 	preferred := maps.Clone(s.avoid)
 	for _, target := range faulty {
@@ -79,11 +76,11 @@
 			preferred[stage.Target.ID] = true
 		}
 	}
-	now := boottime.Now()
-	if path := s.gateway.dispatcher.ChoosePath(now, s.service, s.size, preferred); path != nil {
+	now, d := boottime.Now(), s.gateway.dispatcher
+	if path := d.ChooseNextPath(now, s.service, s.path, preferred, usable); path != nil {
 		return path
 	}
-	return s.gateway.dispatcher.ChoosePath(now, s.service, s.size, required)
+	return d.ChooseNextPath(now, s.service, s.path, required, usable)
 }
 
 // releaseNext ends the reservation of a path for an attempt that was not made.
