Take a next path that comes later, and keep attempts that go on

(2) An attempt whose engine went on while a reroute was tried in vain was cancelled right after an event. (3) A begun stream that had been sent four times was not replaced although it may be sent 16 times. (4) A stream with a comment but no event was given up after 1.8 s with its head sent.

Cause: (1) a kept attempt asked again only at the next reading of reports; (2) the idle time was read again and not looked at; (3) the limit of requests that have not begun; (4) begun meant an event, not the head of the response. All in the watchdog's decision.

Change: an attempt that is to be cancelled asks for a retry and a path every 100 ms for as long as the reports that were read are valid; the limit and the meaning of begun are those of the rest of the stream. A report that is cut short is no longer a sign that the process of the engine has ended (read, not run).

--- /dev/null
+++ b/internal/edge/kept_test.go
@@ -0,0 +1,89 @@
+package edge
+
+import (
+	"bufio"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/hyssophoist/hyssophoist/internal/emulator/edgeplatform"
+)
+
+// TestPathThatComesLaterIsUsedInTime guards against a begun stream whose engine is dead and that takes up a path which
+// appears in the meantime only after its caller has left.
+func TestPathThatComesLaterIsUsedInTime(t *testing.T) {
+	t.Parallel()
+	const callerPatience = 2 * time.Second
+	for name, after := range map[string]time.Duration{
+		"0.9s": 900 * time.Millisecond, "1.3s": 1300 * time.Millisecond, "1.4s": 1400 * time.Millisecond, "1.6s": 1600 * time.Millisecond,
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			d := newDeployment(t)
+			daemon := d.addDaemonAndAwaitPlacement()
+			first, second := d.findPath(daemon)
+			for _, engine := range d.engines {
+				if engine != first && engine != second {
+					d.register(engine, "draining")
+				}
+			}
+			d.waitUntil("the daemon knows who leaves", func() bool { return d.countDraining(daemon) == 2 })
+			first.SetFaults(edgeplatform.TargetFaults{SilentFor: 20 * time.Second, SilentAfter: 5})
+			pause := make(chan time.Duration, 1)
+			go func() { pause <- d.longestPause(daemon, "begun") }()
+			d.waitUntil("the stream runs", func() bool { return len(d.runsOf("begun")) > 0 })
+			time.Sleep(after)
+			for _, engine := range d.engines {
+				if engine != first && engine != second {
+					d.register(engine, "ready")
+				}
+			}
+			got := <-pause
+			t.Logf("path after %v, pause %v", after, got)
+			if got > callerPatience {
+				t.Errorf("pause of %v, the caller leaves after %v", got, callerPatience)
+			}
+		})
+	}
+}
+
+// longestPause sends a stream and returns the longest time between two events.
+func (d *deployment) longestPause(daemon *Daemon, id string) (pause time.Duration) {
+	request, _ := http.NewRequest(http.MethodPost, "http://"+daemon.settings.Front+"/gen/1", strings.NewReader("prompt"))
+	request.Host = edgeplatform.Host
+	for name, value := range map[string]string{"X-Request-Id": id, "X-Deadline-Ms": "8000", "X-Key": "key-1"} {
+		request.Header.Set(name, value)
+	}
+	response, err := http.DefaultTransport.RoundTrip(request)
+	if err != nil {
+		d.t.Error(err)
+		return 0
+	}
+	defer response.Body.Close()
+	last := time.Now()
+	for scanner := bufio.NewScanner(response.Body); scanner.Scan(); last = time.Now() {
+		pause = max(pause, time.Since(last))
+	}
+	return max(pause, time.Since(last))
+}
+
+// TestBegunStreamIsKeptAfterComment guards against a stream whose caller has got the head of the response and a comment, and
+// that is closed because its engine is silent before the first event.
+func TestBegunStreamIsKeptAfterComment(t *testing.T) {
+	t.Parallel()
+	d := newDeployment(t)
+	d.addDaemonAndAwaitPlacement()
+	daemon := d.addDaemonWithoutRetries("a")
+	for _, engine := range d.engines {
+		engine.SetFaults(edgeplatform.TargetFaults{CommentFirst: true, FirstEventDelay: 100 * time.Millisecond})
+	}
+	got := make(chan result, 1)
+	go func() { got <- d.stream(daemon, "commented") }()
+	d.waitUntil("the stream runs", func() bool { return len(d.runsOf("commented")) > 0 })
+	time.Sleep(30 * time.Millisecond)
+	for _, engine := range d.engines {
+		engine.Silence(2300 * time.Millisecond)
+	}
+	d.checkWholeStream(<-got)
+}
--- a/internal/emulator/edgeplatform/serving.go
+++ b/internal/emulator/edgeplatform/serving.go
@@ -144,6 +144,10 @@
 	w.Header().Set("X-Server-Stamp", "stamp-"+t.ID)
 	w.WriteHeader(http.StatusOK)
 	control := http.NewResponseController(w)
+	if faults.CommentFirst {
+		fmt.Fprint(w, ": prefill\n\n")
+		_ = control.Flush()
+	}
 	select {
 	case <-time.After(faults.FirstEventDelay):
 	case <-r.Context().Done():
--- a/internal/emulator/edgeplatform/target_faults.go
+++ b/internal/emulator/edgeplatform/target_faults.go
@@ -19,6 +19,8 @@
 	BreakMidEvent bool
 	// FirstEventDelay is how long a stream has no event at first.
 	FirstEventDelay time.Duration
+	// CommentFirst makes each stream begin with a comment, before FirstEventDelay.
+	CommentFirst bool
 	// StallAfter makes each stream stall after this many events; 0 for never.
 	StallAfter int
 	// CommentWhileStalled makes a stalled stream send comments.
--- a/internal/gateway/giveup.go
+++ b/internal/gateway/giveup.go
@@ -53,7 +53,7 @@
 // awaitRetry takes a retry and reports whether one was left. A stream that has begun waits for one up to begunWait.
 func (s *stream) awaitRetry(ctx context.Context) bool {
 	for waited := time.Duration(0); !s.takeRetry(); waited += waitInterval {
-		if !s.headWritten || waited >= begunWait || ctx.Err() != nil {
+		if !s.headWritten.Load() || waited >= begunWait || ctx.Err() != nil {
 			return false
 		}
 		timing.Sleep(ctx, waitInterval)
--- a/internal/gateway/nextpath.go
+++ b/internal/gateway/nextpath.go
@@ -17,11 +17,11 @@
 // engines that all asked for time.
 func (s *stream) awaitPath(ctx context.Context) *dispatch.Path {
 	timeout := pathTimeout
-	if s.headWritten {
+	if s.headWritten.Load() {
 		timeout = begunWait
 	}
 	for waited := time.Duration(0); ; waited += waitInterval {
-		if path := s.choosePath(); path != nil || waited >= timeout || ctx.Err() != nil || !s.headWritten && s.allBackOff() {
+		if path := s.choosePath(); path != nil || waited >= timeout || ctx.Err() != nil || !s.headWritten.Load() && s.allBackOff() {
 			return path
 		}
 		// An engine that refused may have capacity again, and there may be no other.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -59,7 +59,7 @@
 	// resumable reports whether another attempt may follow the one in progress.
 	resumable bool
 	// headWritten reports whether the head of the response has been sent to the caller.
-	headWritten bool
+	headWritten atomic.Bool
 	// lastEventID is the id of the last event forwarded to the caller, events is the number of forwarded events.
 	lastEventID int64
 	events      int
@@ -115,9 +115,9 @@
 // endFailed ends a stream for which no further attempt is made.
 func (s *stream) endFailed(ctx context.Context) {
 	switch {
-	case s.headWritten && s.gaveUp == callerLeft:
+	case s.headWritten.Load() && s.gaveUp == callerLeft:
 		s.endCanceled(s.lastErr)
-	case s.headWritten:
+	case s.headWritten.Load():
 		s.gateway.recordBroken(s.gaveUp)
 		s.recordEnd(string(s.failureKind(ctx)), "200")
 		// Closes the connection, so that the caller does not take the partial response for a complete one.
@@ -134,7 +134,7 @@
 // endCanceled ends a stream whose caller has disconnected, or has closed its sending side and still reads.
 func (s *stream) endCanceled(err error) {
 	s.gaveUp = callerLeft
-	if s.headWritten {
+	if s.headWritten.Load() {
 		s.recordEnd(string(errkind.Canceled), "200")
 		panic(http.ErrAbortHandler) // as in endFailed
 	}
@@ -172,7 +172,7 @@
 	s.watchdog = s.gateway.inspector.watch(attemptCtx, watchedAttempt{
 		requestID: s.ID, targets: s.targets, targetsWithoutProgress: s.targetsWithoutProgress,
 		stallTimeout: s.stallTimeout, replaceable: func() bool { return resumable && s.replaceable(sends) },
-		begun:       s.eventForwarded.Load,
+		begun:       s.headWritten.Load,
 		reserveNext: func(faulty []fleet.Target, usable bool) bool { return s.reserveNext(attemptCtx, faulty, usable) },
 		reroute:     s.reroute, cancel: cancel,
 	})
@@ -209,7 +209,7 @@
 
 // sendLimit returns the maximum number of attempts, including those that engines rejected without running them.
 func (s *stream) sendLimit() int {
-	if s.headWritten {
+	if s.headWritten.Load() {
 		return maxBegunSends
 	}
 	return maxSends
@@ -285,18 +285,15 @@
 	return firstEventTimeout
 }
 
-// replaceable reports whether another attempt may follow the one that is the attempt number sends.
+// replaceable reports whether another attempt may follow the one that is the attempt number sends, apart from the retry and
+// the path that it needs.
 func (s *stream) replaceable(sends int) bool {
-	if sends >= maxSends {
+	if sends >= s.sendLimit() {
 		return false
 	}
 	s.gateway.mu.Lock()
 	defer s.gateway.mu.Unlock()
-	if !s.eventForwarded.Load() && s.gateway.quarantine.Suspected(s.PromptParts) {
-		return false
-	}
-	window, now, instances := s.gateway.retryState(s.service.ID)
-	return window.Allows(now, instances)
+	return s.eventForwarded.Load() || !s.gateway.quarantine.Suspected(s.PromptParts)
 }
 
 // forwardEvents forwards events to the caller until the stream ends. Only complete events are forwarded.
@@ -365,10 +362,10 @@
 
 // writeHead writes the head of the response unless an earlier call has.
 func (s *stream) writeHead(x *exchange) {
-	if s.headWritten {
+	if s.headWritten.Load() {
 		return
 	}
-	s.headWritten = true
+	s.headWritten.Store(true)
 	copyHeader(s.writer.Header(), x.head.Header)
 	s.closeWhileStopping()
 	s.writer.WriteHeader(x.head.Status)
@@ -460,7 +457,7 @@
 func (s *stream) handleNonStream(x *exchange) (done, retry bool) {
 	s.runs++
 	body, err := x.readBody(s.request, s.timeLeft())
-	if err != nil || !x.head.FromTarget || x.head.ContentEncoded || s.headWritten {
+	if err != nil || !x.head.FromTarget || x.head.ContentEncoded || s.headWritten.Load() {
 		s.lastErr, s.lastKind = fmt.Errorf("response with status %d cannot be forwarded", x.head.Status), errkind.TargetFailed
 		s.recordFault("", s.lastErr.Error())
 		return false, s.mayRunAgain()
--- a/internal/gateway/watchdog.go
+++ b/internal/gateway/watchdog.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"sync"
 	"syscall"
 	"time"
@@ -36,10 +37,10 @@
 	// stream has recently made progress.
 	targets, targetsWithoutProgress func() []fleet.Target
 	// stallTimeout returns the maximum time without an event if no engine is found to be faulty and another attempt may
-	// follow, which replaceable reports.
+	// follow. replaceable reports whether one may, apart from the retry and the path that it needs.
 	stallTimeout func() time.Duration
 	replaceable  func() bool
-	// begun reports whether the caller has got a part of the response.
+	// begun reports whether the head of the response has been sent to the caller.
 	begun func() bool
 	// reserveNext takes a retry and a path without the faulty engines for the attempt that is to follow, and reports
 	// whether there were both. usable excludes paths with suspected engines.
@@ -68,10 +69,18 @@
 	cancelled, stopped bool
 	// waiting reports whether the attempt is kept although engines of its path are faulty.
 	waiting bool
+	// pending is the verdict on which the attempt is to be cancelled once there is a next one; nil for none.
+	pending *stallVerdict
 	// writingSince is when the writing of an event to the caller began; zero if none is being written.
 	writingSince time.Time
 }
 
+// stallVerdict says which engines were found to be faulty after the time idle without an event.
+type stallVerdict struct {
+	faulty []fleet.Target
+	idle   time.Duration
+}
+
 // watch starts a watchdog that reroutes the attempt if engines of its path are found to be faulty. If the attempt cannot
 // be rerouted, or no event arrives within its stall timeout, dispatch.Stall decides whether the watchdog cancels it.
 func (i *inspector) watch(ctx context.Context, attempt watchedAttempt) *watchdog {
@@ -106,6 +115,11 @@
 		w.resetTimer(checkDelay - idle)
 		return
 	}
+	if v := w.pending; v != nil && idle >= v.idle && idle < v.idle+reportTTL {
+		w.cancelOrWait(v.faulty, false)
+		return
+	}
+	w.pending = nil
 	faulty, gone := w.findFaulty(ctx, idle)
 	idle, checkDelay, stopped = w.state()
 	switch {
@@ -123,17 +137,23 @@
 
 // cancelOrWait cancels the attempt, which could not be rerouted, or waits on.
 func (w *watchdog) cancelOrWait(faulty []fleet.Target, gone bool) {
-	idle, _, stopped := w.state()
+	idle, checkDelay, stopped := w.state()
 	if stopped {
 		return
 	}
+	if idle < checkDelay { // the engines have gone on while a reroute was tried
+		w.resetTimer(checkDelay - idle)
+		return
+	}
 	stall := dispatch.Stall{
 		Idle: idle, Limit: w.attempt.stallTimeout(), Silent: len(faulty) > 0, Gone: gone,
 		Replaceable: w.attempt.replaceable(), Begun: w.attempt.begun(),
 	}
+	noNext := false
 	if stall.Cancel() && stall.Replaceable {
 		// Many streams may have to be retried at the same time.
 		stall.Replaceable = w.attempt.reserveNext(faulty, stall.Idle < stall.Limit)
+		noNext = !stall.Replaceable
 	}
 	if stall.Cancel() {
 		log.Event("stalled attempt cancelled", "request", w.attempt.requestID, "ms", idle.Milliseconds(),
@@ -149,6 +169,10 @@
 		log.Event("stream waits for a silent engine", "request", w.attempt.requestID, "target", faulty[0].ID,
 			"ms", idle.Milliseconds())
 	}
+	if noNext {
+		w.awaitNext(faulty, idle)
+		return
+	}
 	// Checks less often the longer no event arrives, but not later than the limit.
 	recheck := max(minRecheckDelay, idle/2)
 	if wait, limited := stall.Wait(); limited {
@@ -157,6 +181,14 @@
 	w.resetTimer(recheck)
 }
 
+// awaitNext has the watchdog ask again soon for a retry and a path: callers wait no longer than two seconds.
+func (w *watchdog) awaitNext(faulty []fleet.Target, idle time.Duration) {
+	if w.pending == nil {
+		w.pending = &stallVerdict{faulty: faulty, idle: idle}
+	}
+	w.resetTimer(waitInterval)
+}
+
 // findFaulty returns the engines that are found to be faulty after no event has arrived for the time idle, and whether
 // the process of one of them has ended.
 func (w *watchdog) findFaulty(ctx context.Context, idle time.Duration) (faulty []fleet.Target, gone bool) {
@@ -260,7 +292,9 @@
 	if r.err == nil {
 		return r.report.Born != 0 && r.report.Born != target.Born
 	}
-	return errors.Is(r.err, syscall.ECONNREFUSED) || closedByTarget(r.err)
+	// A response that is cut short may also be a spoiled one.
+	cut := errors.Is(r.err, io.ErrUnexpectedEOF)
+	return errors.Is(r.err, syscall.ECONNREFUSED) || !cut && closedByTarget(r.err)
 }
 
 // faultyTargets returns the engines of a path because of which the request makes no progress: those that return no
