Pair the ends of a connection by address in the proxy tests

Review of the locks and of the half-open path found no race. One weakness gives exactly this failure: the tests took the next connection that the target accepts for their own. A connection of another process, whose server had the same port before, takes its place, whether it arrives at the proxy or at the target, and if it sends nothing the test reads from it for 30 s.

Change: the tests look up from which address the proxy connected their client to the target, and close connections from others. The proxy is unchanged; no bound and no check is changed.

--- a/internal/faultproxy/proxy_test.go
+++ b/internal/faultproxy/proxy_test.go
@@ -78,15 +78,40 @@
 func (f *fixture) open(t *testing.T) pair {
 	t.Helper()
 	client := f.connect(t)
-	select {
-	case target := <-f.targets:
-		t.Cleanup(func() { target.Close() })
-		_ = target.SetDeadline(time.Now().Add(testTimeout))
-		return pair{client, target}
-	case <-f.ctx.Done():
-		t.Fatal("the connection did not reach the target")
+	address := f.targetSideAddress(t, client)
+	for {
+		select {
+		case target := <-f.targets:
+			t.Cleanup(func() { target.Close() })
+			if target.RemoteAddr().String() != address {
+				t.Logf("the target got a connection from %s that is not from %s", target.RemoteAddr(), client.LocalAddr())
+				continue
+			}
+			_ = target.SetDeadline(time.Now().Add(testTimeout))
+			return pair{client, target}
+		case <-f.ctx.Done():
+			t.Fatalf("the connection from %s by %s did not reach the target", client.LocalAddr(), address)
+		}
+	}
+}
+
+// targetSideAddress waits until the proxy has connected client to the target, and returns the address from which it did.
+// Connections of other processes, whose server had the same port before, may arrive at the proxy and at the target.
+func (f *fixture) targetSideAddress(t *testing.T, client net.Conn) string {
+	t.Helper()
+	for ; f.ctx.Err() == nil; time.Sleep(time.Millisecond) {
+		for _, c := range f.Connections() {
+			c.mu.Lock()
+			target := c.target
+			c.mu.Unlock()
+			if target != nil && c.ClientAddress() == client.LocalAddr().String() {
+				return target.LocalAddr().String()
+			}
+		}
 	}
-	return pair{}
+	t.Fatalf("the proxy did not connect %s to the target; %d connections open, %d accepted", client.LocalAddr(),
+		len(f.Connections()), f.Accepted())
+	return ""
 }
 
 func send(t *testing.T, to net.Conn, text string) {
@@ -140,6 +165,27 @@
 	}
 }
 
+// Guards against a connection of another process, to the proxy or to the target, that a test takes for its own.
+func TestForeignConnectionIsNotTakenForOwn(t *testing.T) {
+	for _, to := range []string{"proxy", "target"} {
+		t.Run(to, func(t *testing.T) {
+			f := startProxy(t, Options{})
+			address := f.options.Target
+			if to == "proxy" {
+				address = f.Address()
+			}
+			foreign, err := net.Dial("tcp", address)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer foreign.Close()
+			p := f.open(t)
+			send(t, p.client, "own")
+			expect(t, p.target, "own")
+		})
+	}
+}
+
 // Guards against faults that do not reach the intended side, or that also affect new connections.
 func TestFaultsOfExistingConnections(t *testing.T) {
 	cases := map[string]struct {
