Test a stop with the longest silence of a sound target

No change of behaviour. The stop of the test lasts 8 s, as deployments have it, and the silence 1.6 s instead of 1.2 s.

Evidence: go test ./internal/edge -run TestSilenceDuringStop -count=2: ok. With a stop of 5 s the case "sent at the end of the balancer delay" failed once in one run: its stream was sent 2.3 s before the end of the grace time, waited for two silent paths one after the other and was cut at that end.

--- a/internal/edge/silence_paths_test.go
+++ b/internal/edge/silence_paths_test.go
@@ -12,6 +12,7 @@
 	"github.com/hyssophoist/hyssophoist/core/fleet"
 	"github.com/hyssophoist/hyssophoist/internal/boottime"
 	"github.com/hyssophoist/hyssophoist/internal/emulator/edgeplatform"
+	"github.com/hyssophoist/hyssophoist/internal/settings"
 )
 
 // soundSilence is the longest time for which a sound target may send nothing.
@@ -245,7 +246,8 @@
 			if test.noRetries {
 				daemon = d.addDaemonWithoutRetries("a")
 			}
-			d.silenceAll(1200*time.Millisecond, false)
+			daemon.settings.StopGrace = settings.Duration(8 * time.Second)
+			d.silenceAll(soundSilence, false)
 			var calls []*waitingCall
 			if test.sentAfter < 0 {
 				calls = d.sendAll(daemon, "x-", 4*time.Second)
