Let emulated engines stall streams that wait for another engine

Cause: a silent engine stalled only the streams of which it was the first engine, and an event came every 5 ms, so that few streams had begun when an engine fell silent, and hardly one met two silences.

Change: SetEventInterval sets the time between two events. StallStreamsVia makes an engine send no events of the streams whose path contains another engine. Without a call of them, nothing changes.

Result: go test ./internal/emulator/... passes.

--- a/internal/emulator/edgeplatform/serving.go
+++ b/internal/emulator/edgeplatform/serving.go
@@ -10,7 +10,7 @@
 	"time"
 )
 
-// eventInterval is the time between two events of a stream.
+// eventInterval is the time between two events of a stream unless SetEventInterval sets another.
 const eventInterval = 5 * time.Millisecond
 
 func (t *Target) serve(w http.ResponseWriter, r *http.Request) {
@@ -163,6 +163,7 @@
 			t.fallSilent(sent)
 		}
 		t.awaitEndOfSilence()
+		t.awaitEndOfStall(r.Header.Get("X-Hops"))
 		if faults.WaitFor != "" && sent == faults.StallAfter && strings.Contains(r.Header.Get("X-Hops"), faults.WaitFor+"=") {
 			if !t.waitForReroute(r) {
 				return
@@ -187,6 +188,6 @@
 		if control.Flush() != nil {
 			return
 		}
-		time.Sleep(eventInterval)
+		t.sleepUntilNextEvent()
 	}
 }
--- a/internal/emulator/edgeplatform/target.go
+++ b/internal/emulator/edgeplatform/target.go
@@ -62,13 +62,18 @@
 	downUntil time.Time
 	// silentUntil is the end of a silence because of SilentFor.
 	silentUntil time.Time
+	// eventInterval is the time between two events of a stream.
+	eventInterval time.Duration
+	// stalledUntil is when streams go on whose path contains the engine at an address.
+	stalledUntil map[string]time.Time
 }
 
 // NewTarget starts a target. Call Close to stop it.
 func NewTarget(id, service, zone, card string, events int) *Target {
 	t := &Target{
 		ID: id, Service: service, Zone: zone, Card: card, Events: events, born: 1,
-		waitingStreams: make(map[string]chan string),
+		waitingStreams: make(map[string]chan string), eventInterval: eventInterval,
+		stalledUntil: make(map[string]time.Time),
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /api/report", t.report)
--- a/internal/emulator/edgeplatform/target_faults.go
+++ b/internal/emulator/edgeplatform/target_faults.go
@@ -108,6 +108,45 @@
 	t.silentUntil = time.Now().Add(d)
 }
 
+// StallStreamsVia makes the target send no events for the given time of streams whose path contains the engine at this
+// address, as if it waited for that engine.
+func (t *Target) StallStreamsVia(address string, d time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.stalledUntil[address] = time.Now().Add(d)
+}
+
+// awaitEndOfStall blocks while the target sends no events of a stream with these hops.
+func (t *Target) awaitEndOfStall(hops string) {
+	t.mu.Lock()
+	var end time.Time
+	for address, until := range t.stalledUntil {
+		if until.After(end) && strings.Contains(hops, address+"=") {
+			end = until
+		}
+	}
+	t.mu.Unlock()
+	time.Sleep(time.Until(end))
+}
+
+// SetEventInterval sets the time between two events of a stream; 0 for the usual time.
+func (t *Target) SetEventInterval(d time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if d == 0 {
+		d = eventInterval
+	}
+	t.eventInterval = d
+}
+
+// sleepUntilNextEvent waits until the next event of a stream is due.
+func (t *Target) sleepUntilNextEvent() {
+	t.mu.Lock()
+	interval := t.eventInterval
+	t.mu.Unlock()
+	time.Sleep(interval)
+}
+
 // awaitEndOfSilence blocks while the target is silent.
 func (t *Target) awaitEndOfSilence() {
 	t.mu.Lock()
