Make groups of sound targets silent in the soak

The soak did not find it: it made one target silent at a time, and excused each end of a stream with any silence of its engines as an end because of a fault.

Change: a new fault makes all engines and some plain targets silent in groups of two or three, one group 0.4 to 1 s after the other, for 0.5 to 1.6 s each. Each group falls silent up to 0.2 s after a SIGTERM, a SIGHUP or a change of the configuration, and goes on with its streams up to 0.4 s after its silence. TestRandomisedSoak draws it among the others, TestSilentGroupsSoak has no other faults. checkNotCut no longer takes a silence for a fault: a stream of silent engines may end only when its caller would leave, which is two seconds after its last event or at its own time limit. checkOutcome also demands an answer to a stream that was forwarded and has not begun. A target does not fall silent twice at a time, which would be longer than sound targets are silent. Streams that are sent while groups are silent have 4.5 s.

--- a/test/soak/callers_test.go
+++ b/test/soak/callers_test.go
@@ -15,14 +15,22 @@
 	"github.com/hyssophoist/hyssophoist/internal/emulator/edgeplatform"
 )
 
-// callerTimeout is how long a caller waits for a response.
-const callerTimeout = 3 * time.Second
+const (
+	// callerTimeout is how long a caller waits for a response, longCallerTimeout for a stream while groups of targets are
+	// silent.
+	callerTimeout     = 3 * time.Second
+	longCallerTimeout = 4500 * time.Millisecond
+	// callerPatience is how long a caller waits for the next event of a stream.
+	callerPatience = 2 * time.Second
+)
 
 // sentRequest is a request of a caller and its outcome.
 type sentRequest struct {
 	id, route, path, body string
 	daemon                *daemon
-	sentAt, endedAt       time.Time
+	// timeout is how long the caller waits for the response.
+	timeout         time.Duration
+	sentAt, endedAt time.Time
 	// writtenAt is when the last byte was written; zero if it was not, or by a caller that uses http.Transport.
 	writtenAt time.Time
 	// localAddress and size are the address of the caller and the number of bytes sent; set by connection callers.
@@ -32,6 +40,8 @@
 	stamp, retryAfter string
 	responseBody      string
 	err               error
+	// receivedAt is when the last part of the response arrived.
+	receivedAt time.Time
 }
 
 // callers sends requests to the daemons over persistent connections.
@@ -42,8 +52,9 @@
 	requests []*sentRequest
 	// probes holds every probe of a key.
 	probes []keyProbe
-	// crossed counts the requests without an answer that crossed the end of their connection.
-	crossed int
+	// crossed counts the requests without an answer that crossed the end of their connection, left the streams of silent
+	// engines that ended when their callers would leave.
+	crossed, left int
 }
 
 // run sends requests until ctx ends: from n callers that use http.Transport, and from connection callers, each kind in
@@ -68,11 +79,14 @@
 }
 
 // newRequest returns the next request of a caller to d.
-func newRequest(caller string, n int, d *daemon, random *rand.Rand) *sentRequest {
+func (c *callers) newRequest(caller string, n int, d *daemon, random *rand.Rand) *sentRequest {
 	id := fmt.Sprintf("%s-%d", caller, n)
-	s := &sentRequest{id: id, daemon: d, body: "body of " + id}
+	s := &sentRequest{id: id, daemon: d, body: "body of " + id, timeout: callerTimeout}
 	s.route = []string{"gen", "post", "read"}[random.IntN(3)]
 	s.path = fmt.Sprintf("/%s/%d?x=a%%2Fb", s.route, n)
+	if s.route == "gen" && c.env.groupsSilent.Load() > 0 {
+		s.timeout = longCallerTimeout
+	}
 	return s
 }
 
@@ -87,7 +101,7 @@
 	defer transport.CloseIdleConnections()
 	d := c.env.daemons[number%len(c.env.daemons)]
 	for n := 0; ctx.Err() == nil; n++ {
-		s := newRequest(fmt.Sprintf("r-%d", number), n, d, random)
+		s := c.newRequest(fmt.Sprintf("r-%d", number), n, d, random)
 		c.send(transport, s)
 		c.add(s)
 		if s.err != nil || s.status >= http.StatusInternalServerError {
@@ -104,7 +118,7 @@
 
 // sendWithKey sends one request with the given key. Its body cannot be read again, so net/http does not retry it.
 func (c *callers) sendWithKey(transport *http.Transport, s *sentRequest, key string) {
-	ctx, cancel := context.WithTimeout(context.Background(), callerTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), s.timeout)
 	defer cancel()
 	request, err := s.encode(ctx, key)
 	if err != nil {
@@ -131,7 +145,7 @@
 	request.ContentLength = int64(len(s.body))
 	request.Host = edgeplatform.Host
 	request.Header.Set("X-Request-Id", s.id)
-	request.Header.Set("X-Deadline-Ms", strconv.FormatInt(callerTimeout.Milliseconds(), 10))
+	request.Header.Set("X-Deadline-Ms", strconv.FormatInt(s.timeout.Milliseconds(), 10))
 	request.Header.Set("X-Key", key)
 	request.Header.Set("X-Tenant", "forged")
 	return request, nil
@@ -145,10 +159,25 @@
 	if id := response.Header.Get("X-Request-Id"); id != s.id && s.status < http.StatusInternalServerError {
 		c.env.t.Errorf("request %s got the response to %q", s.id, id)
 	}
-	content, err := io.ReadAll(response.Body)
+	s.receivedAt = time.Now()
+	content, err := io.ReadAll(receivedReader{response.Body, &s.receivedAt})
 	s.responseBody, s.err = string(content), err
 }
 
+// receivedReader records when it last read something.
+type receivedReader struct {
+	io.Reader
+	at *time.Time
+}
+
+func (r receivedReader) Read(p []byte) (int, error) {
+	n, err := r.Reader.Read(p)
+	if n > 0 {
+		*r.at = time.Now()
+	}
+	return n, err
+}
+
 // eventIDs returns the ids of the events in a stream, -1 for an id that is not a number.
 func eventIDs(body string) (ids []int) {
 	for scanner := bufio.NewScanner(strings.NewReader(body)); scanner.Scan(); {
--- a/test/soak/check_test.go
+++ b/test/soak/check_test.go
@@ -61,7 +61,8 @@
 	c.checkConfigurations()
 	c.checkDepartures()
 	c.checkFencing()
-	c.env.t.Logf("%d requests, %d of them crossed the end of their connection: %v", len(c.requests), c.crossed, counts)
+	c.env.t.Logf("%d requests, %d of them crossed the end of their connection, %d streams of silent engines ended when their "+
+		"callers would leave: %v", len(c.requests), c.crossed, c.left, counts)
 }
 
 // checkOutcome checks one request: a posting runs at most once, and no request runs if it was refused; a response is
@@ -91,12 +92,12 @@
 		c.checkStream(s)
 	}
 	// A daemon responds to each request that it has forwarded, even during a graceful shutdown and if the target does
-	// not respond. It aborts failed streams instead, so that they do not look complete.
-	forwarded := len(runs) > 0 && s.route != "gen"
+	// not respond. It aborts begun streams that fail instead, so that they do not look complete.
+	forwarded := len(runs) > 0 && (s.route != "gen" || s.status == 0)
 	if forwarded && s.err != nil && !s.timedOut() && !s.daemon.mayInterrupt(s.sentAt, s.endedAt) {
 		t.Errorf("request %s was forwarded, but its connection ended without a response: %v", s.id, s.err)
 	}
-	if took := s.endedAt.Sub(s.sentAt); took > callerTimeout+deadlineSlack && !errors.Is(s.err, os.ErrDeadlineExceeded) {
+	if took := s.endedAt.Sub(s.sentAt); took > s.timeout+deadlineSlack && !errors.Is(s.err, os.ErrDeadlineExceeded) {
 		t.Errorf("request %s took %v", s.id, took)
 	}
 }
@@ -124,21 +125,30 @@
 }
 
 // checkNotCut checks that a stream whose response has begun is complete, unless an engine on its path had a fault, its
-// daemon was killed or suspended, or the grace time of the daemon ended.
+// daemon was killed or suspended, or the grace time of the daemon ended. A silence of its engines is no fault: it lets a
+// stream end only once its caller would leave.
 func (c *callers) checkNotCut(s *sentRequest, runs []targetRun) {
 	cut := s.route == "gen" && s.status == http.StatusOK && s.err != nil
 	if !cut || s.daemon.wasDisturbed(s.sentAt, s.endedAt) || s.daemon.endedGrace(s.sentAt, s.endedAt) {
 		return
 	}
+	silent := false
 	for _, r := range runs {
 		for _, t := range c.env.targets {
-			if strings.Contains(r.Hops, t.Address()+"=") && t.faults.overlap(s.sentAt.Add(-deadlineSlack), s.endedAt) {
+			onPath := strings.Contains(r.Hops, t.Address()+"=")
+			if onPath && t.faults.overlap(s.sentAt.Add(-deadlineSlack), s.endedAt) {
 				return
 			}
+			silent = silent || onPath && t.silences.overlap(s.sentAt, s.endedAt)
 		}
 	}
-	c.env.t.Errorf("stream %s, sent to %s at %s, was cut after %v without a fault of its engines: %v",
-		s.id, s.daemon.name, s.sentAt.Format("05.000"), s.endedAt.Sub(s.sentAt), s.err)
+	idle, took := s.endedAt.Sub(s.receivedAt), s.endedAt.Sub(s.sentAt)
+	if silent && (s.timedOut() || idle >= callerPatience || took >= s.timeout) {
+		c.left++
+		return
+	}
+	c.env.t.Errorf("stream %s, sent to %s at %s, was cut after %v, %v after the last of %d events, without a fault of its engines "+
+		"(silent: %t): %v", s.id, s.daemon.name, s.sentAt.Format("05.000"), took, idle, len(eventIDs(s.responseBody)), silent, s.err)
 }
 
 // timedOut reports whether the caller stopped waiting for the response.
--- a/test/soak/connections_test.go
+++ b/test/soak/connections_test.go
@@ -61,7 +61,7 @@
 			c.disconnect()
 			continue
 		}
-		s := newRequest(c.name, n, c.daemon, c.random)
+		s := c.callers.newRequest(c.name, n, c.daemon, c.random)
 		c.send(s)
 		c.callers.add(s)
 		if s.err != nil || c.use == sendsLate {
@@ -124,7 +124,7 @@
 func (c *connectionCaller) send(s *sentRequest) {
 	s.sentAt = time.Now()
 	defer func() { s.endedAt = time.Now() }()
-	if s.err = c.conn.SetDeadline(s.sentAt.Add(callerTimeout + deadlineSlack)); s.err != nil {
+	if s.err = c.conn.SetDeadline(s.sentAt.Add(s.timeout + deadlineSlack)); s.err != nil {
 		return
 	}
 	if s.err = c.write(s); s.err != nil {
--- a/test/soak/environment_test.go
+++ b/test/soak/environment_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -34,9 +35,9 @@
 	// published is the entry that the target last wrote. It is written again at rewriteAt, if that is not zero.
 	published string
 	rewriteAt time.Time
-	// faults holds the times during which the target or its connections had a fault, and delays those during which
-	// requests may have arrived late.
-	faults, delays faultLog
+	// faults holds the times during which the target or its connections had a fault, silences those during which a sound
+	// target may have been silent, and delays those during which requests may have arrived late.
+	faults, silences, delays faultLog
 	// entries holds the states of the target's entry in the order of time.
 	entries []writtenEntry
 }
@@ -49,6 +50,8 @@
 	daemons []*daemon
 	// storeFaults holds the times during which the store was down or about to be restored.
 	storeFaults faultLog
+	// groupsSilent is the number of faults in progress that make groups of targets silent.
+	groupsSilent atomic.Int32
 
 	mu sync.Mutex
 	// version and key are those of the latest configuration.
--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -21,24 +21,27 @@
 type faultInjector struct {
 	env    *environment
 	random *rand.Rand
-	// kinds is the number of faultKinds that step chooses from.
-	kinds   int
+	// kinds are the faults that step chooses from.
+	kinds   []faultKind
 	running sync.WaitGroup
 
 	mu        sync.Mutex
 	completed []string
-	// reserved holds the daemons, targets, emulated servers of targets and the store that a fault has reserved. A second
-	// fault that needs the same one is skipped. Faults of connections, silences of targets and changes of the configuration
+	// reserved holds the daemons, targets, emulated servers of targets, silences of targets and the store that a fault has
+	// reserved. A second fault that needs the same one is skipped. Faults of connections and changes of the configuration
 	// reserve nothing.
 	reserved map[any]bool
 }
 
-// faultKinds are the faults that step chooses from. The duration of each fault is random. New ones are appended, so that
-// the seeds of regressions keep their faults.
-var faultKinds = []struct {
+// faultKind is a kind of fault.
+type faultKind struct {
 	name   string
 	inject func(f *faultInjector, random *rand.Rand, duration time.Duration) string
-}{
+}
+
+// faultKinds are the faults of TestRandomisedSoak. The duration of each fault is random. New ones are appended, so that
+// the seeds of regressions keep their faults.
+var faultKinds = []faultKind{
 	{"store down", (*faultInjector).storeDown},
 	{"store loses responses", (*faultInjector).storeLosesResponses},
 	{"store drops history", (*faultInjector).storeDropsHistory},
@@ -60,11 +63,12 @@
 	{"target leaves", (*faultInjector).targetLeaves},
 	{"target asks for time", (*faultInjector).targetAsksForTime},
 	{"target leaves by response", (*faultInjector).targetLeavesByResponse},
+	groupsSilentKind,
 }
 
 // step starts a random fault and returns at once.
 func (f *faultInjector) step() {
-	kind := faultKinds[f.random.IntN(f.kinds)]
+	kind := f.kinds[f.random.IntN(len(f.kinds))]
 	random := rand.New(rand.NewPCG(f.random.Uint64(), 1))
 	duration := time.Duration(200+random.IntN(2500)) * time.Millisecond
 	f.running.Go(func() {
@@ -203,8 +207,11 @@
 	if t.Card != "" {
 		after = random.IntN(streamEvents)
 	}
-	defer t.faults.record(time.Now())
-	defer t.delays.record(time.Now())
+	if !f.reserve(silenceOf{t}) {
+		return skipped
+	}
+	defer f.release(silenceOf{t})
+	defer t.recordSilence(time.Now())
 	t.UpdateFaults(func(faults *edgeplatform.TargetFaults) { faults.SilentFor, faults.SilentAfter = silence, after })
 	time.Sleep(duration)
 	t.UpdateFaults(func(faults *edgeplatform.TargetFaults) { faults.SilentFor = 0 })
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -46,7 +46,7 @@
 // that run twice, truncated streams that look complete, retries beyond the budget, and outdated keys that are
 // still accepted. HYSSOPHOIST_SEED and HYSSOPHOIST_STEPS repeat the faults of a run.
 func TestRandomisedSoak(t *testing.T) {
-	runSoak(t, testenv.Seed(t, 100), int(testenv.Steps(t, defaultSteps)), len(faultKinds))
+	runSoak(t, testenv.Seed(t, 100), int(testenv.Steps(t, defaultSteps)), faultKinds)
 }
 
 // TestSoakRegressions repeats the faults of seeds that once failed.
@@ -57,12 +57,13 @@
 	for _, r := range regressions {
 		t.Run(fmt.Sprint(r.seed), func(t *testing.T) {
 			t.Log(r.cause)
-			runSoak(t, r.seed, defaultSteps, r.kinds)
+			runSoak(t, r.seed, defaultSteps, faultKinds[:r.kinds])
 		})
 	}
 }
 
-func runSoak(t *testing.T, seed uint64, steps, kinds int) {
+// runSoak runs the given number of steps with faults of the given kinds. Faults of several kinds overlap.
+func runSoak(t *testing.T, seed uint64, steps int, kinds []faultKind) {
 	env := newEnvironment(t, seed, defaultDaemons, enginesPerZone)
 	f := &faultInjector{
 		env: env, random: rand.New(rand.NewPCG(seed, 0)), kinds: kinds, reserved: make(map[any]bool),
@@ -82,6 +83,9 @@
 	sending.Go(func() { c.run(ctx, callersPerDaemon*defaultDaemons, connectionCallersPerDaemon*defaultDaemons, seed) })
 	for range steps {
 		f.step()
+		if len(kinds) == 1 {
+			f.running.Wait()
+		}
 		time.Sleep(time.Duration(100+f.random.IntN(500)) * time.Millisecond)
 	}
 	f.running.Wait()
@@ -119,6 +123,7 @@
 func (env *environment) probe(d *daemon, route, key string) *sentRequest {
 	s := &sentRequest{
 		id: fmt.Sprintf("probe-%s-%d", d.name, time.Now().UnixNano()), route: route, path: "/" + route + "/probe", body: "probe", daemon: d,
+		timeout: callerTimeout,
 	}
 	transport := &http.Transport{DisableKeepAlives: true}
 	(&callers{env: env}).sendWithKey(transport, s, key)
