Take the retry of a second attempt in one step

Cause: after an attempt that was not sent, its retry stayed reserved and reserveRetry then denied the second attempt beside a slow one.

Change: takeRetry alone; reserveRetry is gone. Comments of dispatch.Stall say what begun means now.

--- a/core/dispatch/stall.go
+++ b/core/dispatch/stall.go
@@ -12,13 +12,13 @@
 	Idle, Limit time.Duration
 	// Silent reports whether engines of the path do not answer, Gone whether the process of one has ended.
 	Silent, Gone bool
-	// Replaceable reports whether another attempt may follow, Begun whether the caller has got events.
+	// Replaceable reports whether another attempt may follow, Begun whether the caller has got a part of the response.
 	Replaceable, Begun bool
 }
 
 // Cancel reports whether to cancel the attempt. One that no other may follow is the caller's last chance. If the caller
-// has got events, the end of that attempt could only close the connection, so it is kept until an engine is known to have
-// ended. Otherwise it is kept while the silent engine may be sound; the caller then gets an answer and can retry.
+// has got a part of the response, the end of that attempt could only close the connection, so it is kept until an engine is
+// known to have ended. Otherwise it is kept while the silent engine may be sound; the caller then gets an answer and can retry.
 func (s Stall) Cancel() bool {
 	switch {
 	case s.Gone:
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -132,7 +132,7 @@
 // beginSecondAttempt begins an attempt on another target beside one that takes long, if another target and a retry are
 // left. The one in progress goes on: its target may be silent for a while, and the other may do no better.
 func (c *bufferedCall) beginSecondAttempt(ctx context.Context) {
-	if !c.route.Repeatable() || !c.hasTime(ctx) || !c.mayBeginAttempt() || !c.reserveRetry(ctx) || !c.takeRetry() {
+	if !c.route.Repeatable() || !c.hasTime(ctx) || !c.mayBeginAttempt() || !c.takeRetry() {
 		return
 	}
 	c.suspectLatest()
--- a/internal/gateway/retries.go
+++ b/internal/gateway/retries.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"context"
 	"math/rand/v2"
 	"time"
 
@@ -30,19 +29,6 @@
 	retryAfterJitter = 0.5
 )
 
-// reserveRetry takes the retry that follows an attempt before the attempt is cancelled for it, and reports whether one
-// was left. attempt is the context of that attempt.
-func (q *request) reserveRetry(attempt context.Context) bool {
-	q.gateway.mu.Lock()
-	defer q.gateway.mu.Unlock()
-	if attempt.Err() != nil || q.retryReserved {
-		return false
-	}
-	window, now, instances := q.gateway.retryState(q.service.ID)
-	q.retryReserved = window.TryAcquire(now, instances)
-	return q.retryReserved
-}
-
 // takeRetry takes one retry from this instance's share of the retry limit, unless one is reserved, and reports whether
 // one was left.
 func (q *request) takeRetry() bool {
