Read a new report before a request's last attempt is given up

What callers saw: nothing yet; found when the paths beside the fault were read. A request that has got nothing and has no other attempt gets 502 after 1.8 s of silence on a report that may be 0.5 s old, when the engine goes on already.

Change: the reports of the engines that were found to be silent are read again, past the cache, before such an attempt is cancelled.

Evidence: TestLastAttemptIsKeptAfterSilence fails without the change (engine silent false: cancelled true) and passes with it.

--- a/internal/gateway/watchdog.go
+++ b/internal/gateway/watchdog.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -116,7 +117,7 @@
 		return
 	}
 	if v := w.pending; v != nil && idle >= v.idle && idle < v.idle+reportTTL {
-		w.cancelOrWait(v.faulty, false)
+		w.cancelOrWait(ctx, v.faulty, false)
 		return
 	}
 	w.pending = nil
@@ -131,12 +132,12 @@
 		w.resetArrival()
 		w.resetTimer(stallCheckDelay)
 	default:
-		w.cancelOrWait(faulty, gone)
+		w.cancelOrWait(ctx, faulty, gone)
 	}
 }
 
 // cancelOrWait cancels the attempt, which could not be rerouted, or waits on.
-func (w *watchdog) cancelOrWait(faulty []fleet.Target, gone bool) {
+func (w *watchdog) cancelOrWait(ctx context.Context, faulty []fleet.Target, gone bool) {
 	idle, checkDelay, stopped := w.state()
 	if stopped {
 		return
@@ -155,6 +156,13 @@
 		stall.Replaceable = w.attempt.reserveNext(faulty, stall.Idle < stall.Limit)
 		noNext = !stall.Replaceable
 	}
+	if stall.Cancel() && !stall.Replaceable && !stall.Gone {
+		stall.Silent = w.inspector.stillSilent(ctx, faulty)
+		if now, _, _ := w.state(); now < idle { // an event has arrived meanwhile
+			w.resetTimer(stallCheckDelay)
+			return
+		}
+	}
 	if stall.Cancel() {
 		log.Event("stalled attempt cancelled", "request", w.attempt.requestID, "ms", idle.Milliseconds(),
 			"silent", stall.Silent, "ended", stall.Gone, "replaceable", stall.Replaceable)
@@ -286,6 +294,22 @@
 	return unresponsive, gone
 }
 
+// stillSilent reports whether one of the engines gives no report now. The reports that showed it may be from before the end
+// of the silence.
+func (i *inspector) stillSilent(ctx context.Context, targets []fleet.Target) bool {
+	silent := make([]bool, len(targets))
+	now := time.Now()
+	var wg sync.WaitGroup
+	for n, target := range targets {
+		wg.Go(func() {
+			_, err := i.inspectSince(ctx, target, now)
+			silent[n] = reportResult{err: err}.noAnswer()
+		})
+	}
+	wg.Wait()
+	return slices.Contains(silent, true)
+}
+
 // hasEnded reports whether the result shows that the process of an engine has ended: its address refuses or resets
 // connections, or another process has taken its place. An engine that does not answer may only be silent.
 func (r reportResult) hasEnded(target fleet.Target) bool {
--- a/internal/gateway/watchdog_test.go
+++ b/internal/gateway/watchdog_test.go
@@ -149,7 +149,7 @@
 				cancel: func() { cancelled = true }, begun: func() bool { return true },
 			},
 		}
-		w.cancelOrWait([]fleet.Target{{ID: "silent"}}, false)
+		w.cancelOrWait(context.Background(), []fleet.Target{{ID: "silent"}}, false)
 		if cancelled != retryLeft {
 			t.Errorf("retry left %v: cancelled %v", retryLeft, cancelled)
 		}
@@ -157,6 +157,35 @@
 	}
 }
 
+// TestLastAttemptIsKeptAfterSilence guards against a request that has got nothing yet and whose last attempt is given up on a
+// report from before the end of a silence.
+func TestLastAttemptIsKeptAfterSilence(t *testing.T) {
+	for _, silent := range []bool{true, false} {
+		engines := &fakeEngines{dead: map[entity.TargetID]bool{"e": true}}
+		g := New(Options{Engines: engines})
+		engine := fleet.Target{ID: "e", Born: 1}
+		if _, err := g.inspector.inspect(context.Background(), engine); err == nil {
+			t.Fatal("the silent engine gave a report")
+		}
+		engines.dead["e"] = silent
+		cancelled := false
+		w := &watchdog{
+			inspector: g.inspector, lastArrival: time.Now().Add(-fleet.SilenceLimit), timer: time.NewTimer(time.Hour),
+			attempt: watchedAttempt{
+				requestID: "s", targets: func() []fleet.Target { return []fleet.Target{engine} },
+				stallTimeout: func() time.Duration { return time.Minute }, replaceable: func() bool { return false },
+				reroute: func(context.Context, []fleet.Target) bool { return false }, begun: func() bool { return false },
+				cancel: func() { cancelled = true },
+			},
+		}
+		w.check(context.Background())
+		if cancelled != silent {
+			t.Errorf("engine silent %v: cancelled %v", silent, cancelled)
+		}
+		w.stop()
+	}
+}
+
 // TestSlowCallerIsNotStalledEngine guards against a stream that is cancelled because its caller does not read.
 func TestSlowCallerIsNotStalledEngine(t *testing.T) {
 	w := &watchdog{lastArrival: time.Now()}
