--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -114,8 +114,8 @@
 
 // Fleet is the table of targets of one instance.
 type Fleet struct {
-	// DrainBound is how long after a response in which a target says that it leaves, or after the removal of its entry, a
-	// request may be sent to it at most.
+	// DrainBound is the longest time after which a request may be sent to a target that has announced in a response that it
+	// is leaving, or whose entry has been removed.
 	DrainBound time.Duration
 
 	targets *table.Table[entity.TargetID, State]
--- a/internal/connpool/connpool.go
+++ b/internal/connpool/connpool.go
@@ -134,8 +134,8 @@
 	}, nil
 }
 
-// dial opens a connection. A timeout that is noticed late says that this process was paused, and nothing about the target,
-// so that the dial is repeated once.
+// dial opens a connection. A timeout that is noticed late comes from a pause of this process, not from the target, so the
+// dial is repeated once.
 func (p *Pool) dial(ctx context.Context, address string) (net.Conn, error) {
 	begun := time.Now()
 	conn, err := p.dialer.DialContext(ctx, "tcp", address)
--- a/internal/gateway/leaving.go
+++ b/internal/gateway/leaving.go
@@ -30,8 +30,8 @@
 	return g.dispatcher.Fleet.CountLeaving()
 }
 
-// recordIfLeaving records what a response says about the target that wrote it. A 421 response says that this is not the
-// target addressed but another one with the same address.
+// recordIfLeaving records whether the target that wrote a response announces that it is leaving. A 421 response comes from
+// another target with the same address.
 func (x *exchange) recordIfLeaving(head ResponseHead, requestID string) {
 	if !head.Leaving {
 		return
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -274,8 +274,8 @@
 	}
 }
 
-// endBuffered ends a call for which no further attempt is made. It uses the kind refusal, which says that the call has
-// not run, only if no target can have run it.
+// endBuffered ends a call for which no further attempt is made. It uses the kind refusal, which promises that the call
+// has not run, only if no target can have run it.
 func (q *request) endBuffered(ctx context.Context, fallback *bufferedResponse, refusal errkind.Kind) {
 	switch {
 	case fallback != nil:
--- a/internal/gateway/timeout.go
+++ b/internal/gateway/timeout.go
@@ -33,7 +33,7 @@
 	return errkind.OutcomeUnknown
 }
 
-// failureKind returns the error kind of a request that may have run. It never says that the request has not run.
+// failureKind returns the error kind of a request that may have run. It never promises that the request has not run.
 func (q *request) failureKind(ctx context.Context) errkind.Kind {
 	switch {
 	case q.timedOut(ctx):
--- a/internal/gateway/types.go
+++ b/internal/gateway/types.go
@@ -68,7 +68,7 @@
 	FromTarget bool
 	// ContentEncoded reports whether the body has a content coding, so that it is not the bytes that the target wrote.
 	ContentEncoded bool
-	// Leaving reports whether the target that wrote the response says that it leaves.
+	// Leaving reports whether the target that wrote the response announces that it is leaving.
 	Leaving bool
 	// KeepAlive is how long the target keeps an idle connection open; 0 if it does not say.
 	KeepAlive time.Duration
