Reset all connections of a fault proxy together

What was seen: TestAbandonedClaimIsTakenOver failed now and then: "the posting got 200 ..., want platform_unavailable, not run". No daemon sent a posting without a confirmed claim: the late claim write was followed 7 ms later by a second one of the same attempt, without delay, which the platform confirmed.

Cause: the proxy's Reset and BlockClients reset the connections one after the other. A daemon noticed the reset of the connection with the claim, read back and repeated the claim on a kept connection that the proxy had not reached yet.

Change: the proxy first stops forwarding on all of these connections and then resets each.

Evidence: TestResetStopsAllConnectionsTogether failed in 20 runs of 20 before the change, in both cases: "1 bytes reached the target after the first reset"; 200 of 200 passed after it. TestAbandonedClaimIsTakenOver, three processes at a time with GOMAXPROCS=2: 119 of 120 passed before, 120 of 120 after. With a trial pause of 5 ms between the resets: 7 of 20 passed before, 20 of 20 after. The tests of internal/faultproxy passed 3 times.

--- a/internal/faultproxy/proxy.go
+++ b/internal/faultproxy/proxy.go
@@ -146,14 +146,11 @@
 		p.blocked[address] = true
 	}
 	p.mu.Unlock()
-	for _, c := range p.Connections() {
+	resetAll(slices.DeleteFunc(p.Connections(), func(c *Connection) bool {
 		p.mu.Lock()
-		blocked := p.isBlocked(c.client)
-		p.mu.Unlock()
-		if blocked {
-			c.Reset()
-		}
-	}
+		defer p.mu.Unlock()
+		return !p.isBlocked(c.client)
+	}))
 }
 
 // isBlocked reports whether the client of a connection is blocked. The caller holds p.mu.
@@ -220,8 +217,15 @@
 }
 
 // Reset resets all existing connections on both sides.
-func (p *Proxy) Reset() {
-	for _, c := range p.Connections() {
+func (p *Proxy) Reset() { resetAll(p.Connections()) }
+
+// resetAll resets connections. It first stops forwarding on all of them, so that a client that notices the reset of one
+// reaches the target through none of the others.
+func resetAll(connections []*Connection) {
+	for _, c := range connections {
+		c.Blackhole()
+	}
+	for _, c := range connections {
 		c.Reset()
 	}
 }
--- a/internal/faultproxy/proxy_test.go
+++ b/internal/faultproxy/proxy_test.go
@@ -230,6 +230,41 @@
 
 // Guards against a block that affects the other direction or loses bytes, and against new connections that reach the
 // target during the block.
+// TestResetStopsAllConnectionsTogether guards against a client that reacts to the reset of one connection and still
+// reaches the target through another one that is about to be reset.
+func TestResetStopsAllConnectionsTogether(t *testing.T) {
+	const count = 64
+	for name, resetAll := range map[string]func(*Proxy){
+		"Reset":        (*Proxy).Reset,
+		"BlockClients": func(p *Proxy) { p.BlockClients("127.0.0.1") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := startProxy(t, Options{})
+			var clients []net.Conn
+			for range count {
+				clients = append(clients, f.open(t).client)
+			}
+			connections := f.Connections()
+			reacted := make(chan error)
+			go func() {
+				_, err := clients[0].Read(make([]byte, 1))
+				_, _ = clients[count-1].Write([]byte("x")) // fails if this connection has been reset as well
+				reacted <- err
+			}()
+			resetAll(f.Proxy)
+			if err := <-reacted; err == nil {
+				t.Error("the first connection was not reset")
+			}
+			if _, err := f.WaitConnections(f.ctx, 0); err != nil {
+				t.Fatal(err)
+			}
+			if n := connections[count-1].BytesForwarded(ToTarget); n != 0 {
+				t.Errorf("%d bytes reached the target after the first reset", n)
+			}
+		})
+	}
+}
+
 func TestBlockedDirectionHoldsBytes(t *testing.T) {
 	f := startProxy(t, Options{})
 	p := f.open(t)
