--- a/internal/faultproxy/proxy_test.go
+++ b/internal/faultproxy/proxy_test.go
@@ -228,8 +228,6 @@
 	}
 }
 
-// Guards against a block that affects the other direction or loses bytes, and against new connections that reach the
-// target during the block.
 // TestResetStopsAllConnectionsTogether guards against a client that reacts to the reset of one connection and still
 // reaches the target through another one that is about to be reset.
 func TestResetStopsAllConnectionsTogether(t *testing.T) {
@@ -265,6 +263,8 @@
 	}
 }
 
+// Guards against a block that affects the other direction or loses bytes, and against new connections that reach the
+// target during the block.
 func TestBlockedDirectionHoldsBytes(t *testing.T) {
 	f := startProxy(t, Options{})
 	p := f.open(t)
