Prefer a stalled target to one that failed

What callers saw: "attempt 5 failed: target_failed" in the middle of a stream, although its model had a sound target.

Cause: a stream whose engine of the second stage was killed went on at the other one. When the machine made that one wait for longer than the progress timeout, both had the same penalty, however often and in whatever way they had failed, and the lower other costs decided: attempts 3, 4 and 5 all went to the killed engine ("dial tcp: connect: connection refused") within 0.5 s.

Change: the penalty of a target for a resumed request grows with the number of its attempts that failed there. A failure that names the target counts twice, a stall once. Limits on attempts and timeouts are as before. If the target that failed has recovered and the other one is frozen, the stream waits for one more stall before it returns to the former.

--- a/core/router/cost.go
+++ b/core/router/cost.go
@@ -1,10 +1,6 @@
 package router
 
-import (
-	"slices"
-
-	"github.com/hyssophoist/hyssophoist/core/message"
-)
+import "github.com/hyssophoist/hyssophoist/core/message"
 
 // expectedCosts makes the cost of a target or link the time that the request is expected to spend there.
 type expectedCosts struct {
@@ -42,10 +38,14 @@
 	if e.resumed && !t.hasRecentProgress(e.r.now) {
 		cost += noProgressPenalty
 	}
-	if e.r.suspect(t) || t.stalled(e.r.now) || e.r.overdue(t) || e.resumed && slices.Contains(e.q.avoid, t) {
-		cost += suspectPenalty
+	penalties := 0
+	if e.resumed {
+		penalties = e.q.failuresAt(t)
+	}
+	if penalties == 0 && (e.r.suspect(t) || t.stalled(e.r.now) || e.r.overdue(t)) {
+		penalties = 1
 	}
-	return cost, true
+	return cost + suspectPenalty*float64(penalties), true
 }
 
 func (e expectedCosts) Link(from, to int) float64 {
--- a/core/router/health.go
+++ b/core/router/health.go
@@ -21,6 +21,9 @@
 			continue
 		}
 		q.avoid = append(q.avoid, t)
+		if failedTarget != "" {
+			q.atFault = append(q.atFault, t)
+		}
 		t.consecutiveFailures++
 		count++
 		t.suspectUntil = r.now.Add(min(suspectTime<<min(t.consecutiveFailures-1, 5), maxSuspectTime))
--- a/core/router/request.go
+++ b/core/router/request.go
@@ -25,9 +25,10 @@
 	attempts        []*attempt
 	// lastHeadEngine is the first engine of the latest attempt's chain. A new chain may import its KV cache.
 	lastHeadEngine entity.TargetID
-	// avoid lists the targets of attempts that failed, stalled or were hedged.
-	avoid         []*target
-	lastErrorKind errkind.Kind
+	// avoid lists the targets of attempts that failed, stalled or were hedged, and atFault those that a failed attempt
+	// named as its cause. A target occurs once for each such attempt.
+	avoid, atFault []*target
+	lastErrorKind  errkind.Kind
 }
 
 // attempt is one attempt in progress.
@@ -56,6 +57,20 @@
 	return nil
 }
 
+// failuresAt returns how strongly earlier attempts of the request speak against a target. A failure that names the
+// target counts twice, since a stalled attempt does not show which target it waits for.
+func (q *request) failuresAt(t *target) int {
+	count := 0
+	for _, targets := range [][]*target{q.avoid, q.atFault} {
+		for _, other := range targets {
+			if other == t {
+				count++
+			}
+		}
+	}
+	return count
+}
+
 func (q *request) runOutcome() errkind.RunOutcome {
 	if q.mayHaveRun || len(q.attempts) > 0 {
 		return errkind.Unknown
--- a/core/router/router_test.go
+++ b/core/router/router_test.go
@@ -80,6 +80,28 @@
 		message.AttemptFinished{Request: "r", Attempt: second.Attempt, NextPosition: 10}}))
 }
 
+// Guards against a stream whose attempts are used up at a target that failed while the only other one has stalled.
+func TestStalledTargetIsPreferredToFailedTarget(t *testing.T) {
+	for seed := range uint64(20) {
+		r := New(Options{Daemon: "d", Zone: "z1", Seed: seed})
+		step := func(at time.Duration, inputs ...message.Input) []message.Command {
+			return r.Step(testStart.Add(at), inputs)
+		}
+		first := onlyCommand[message.StartAttempt](t,
+			step(0, twoStageConfiguration(1, entity.Mark{ID: "a2", State: entity.LeaveMark}), newRequest("r")))
+		step(100*time.Millisecond, message.AttemptProgressed{Request: "r", Attempt: first.Attempt, NextPosition: 4})
+		second := onlyCommand[message.StartAttempt](t, step(110*time.Millisecond, message.AttemptFailed{Request: "r",
+			Attempt: first.Attempt, Kind: errkind.TargetFailed, Run: errkind.Unknown, Target: first.Chain[1].Target,
+			NextPosition: 4}))
+		step(200*time.Millisecond, message.AttemptProgressed{Request: "r", Attempt: second.Attempt, NextPosition: 5})
+		commands := append(step(5*time.Second), step(7*time.Second)...)
+		if third := onlyCommand[message.StartAttempt](t, commands); third.Chain[1].Target != second.Chain[1].Target {
+			t.Errorf("seed %d: the third attempt uses %s, which failed, instead of %s, which stalled", seed,
+				third.Chain[1].Target, second.Chain[1].Target)
+		}
+	}
+}
+
 // Guards against a second run of a non-idempotent request, and against a request that is refused although the target
 // reported that it did not run.
 func TestNonIdempotentRunsOnce(t *testing.T) {
