--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -108,8 +108,8 @@
 	return d.reserveStages(stages, current.size, backedOff)
 }
 
-// findStages returns the stages of the cheapest path for a generation, or nil, and the engines that were left out as first
-// ones since they asked for time.
+// findStages returns the stages of the cheapest path for a generation, or nil. backedOff reports whether engines were left
+// out as first ones because they asked for time.
 func (d *Dispatcher) findStages(now time.Time, service *routing.Service, size GenerationSize,
 	avoid map[entity.TargetID]bool) (stages []Stage, backedOff bool) {
 	layers := entity.LayerRange{To: service.Engine.Layers}
