Extend engines next to a gap only if that closes it

Cause: when a zone lost layers 54-60, the plan extended the engines next to them by two layers each, all that their cards allow. The memory of the new layers is taken from the requests at the moment at which an engine accepts the order, not when the layers are loaded: 32 to 37 streams through the engine were reset within 2 ms of it. Layers 56-58 were still missing in the zone, so paths had to leave it as before; another zone held all of the layers.

Change: engines are extended only if they can close the gap together, and by one engine rather than two if one suffices. Layers that no engine of the deployment holds are still taken in part, but no further than to the last of them, and the remedies for them are tried in all zones one after the other: an extension in one zone is no longer repeated in the others for the same layers. A gap that cannot be closed no longer keeps the later gaps of the zone open.

--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -57,17 +57,28 @@
 // Plan returns the orders needed for each group of holders to hold the whole model and replicas of some of its layers,
 // most urgent first.
 func Plan(engine *routing.Engine, holders []Holder) []Order {
-	var orders []Order
 	holdersInDeployment := make([]int, engine.Layers)
 	for _, holder := range holders {
 		if !holder.Lost {
 			addHolders(holdersInDeployment, holder.Held, 1)
 		}
 	}
+	var planners []*planner
 	for _, group := range groups(engine, holders) {
 		planner := newPlanner(engine, group)
 		planner.holdersInDeployment = holdersInDeployment
-		orders = append(orders, planner.plan()...)
+		planner.place()
+		planners = append(planners, planner)
+	}
+	for _, remedy := range remedies {
+		for _, planner := range planners {
+			planner.apply(remedy)
+		}
+	}
+	var orders []Order
+	for _, planner := range planners {
+		planner.placeReplicas(planner.initial)
+		orders = append(orders, planner.orders...)
 	}
 	slices.SortStableFunc(orders, func(a, b Order) int { return cmp.Compare(priority(a), priority(b)) })
 	return orders
@@ -143,9 +154,12 @@
 	holders []Holder
 	// cacheTokens is the KV cache, in tokens per layer, that the plan keeps room for on each engine.
 	cacheTokens float64
-	// holdersInGroup and holdersInDeployment are the numbers of holders of each layer.
+	// holdersInGroup and holdersInDeployment are the numbers of holders of each layer. The planners of all groups share
+	// the latter.
 	holdersInGroup      []int
 	holdersInDeployment []int
+	// initial reports whether no engine of the group held layers.
+	initial bool
 	// orderUnknown reports whether an engine of the group is carrying out an order whose range is not known.
 	orderUnknown bool
 	orders       []Order
@@ -179,15 +193,14 @@
 	return decodeTime + float64(p.engine.PrefillTime(performance, p.engine.Layers, p.engine.UsualPrompt))
 }
 
-func (p *planner) plan() []Order {
-	initial := p.holdsNothing()
-	if initial {
+// place assigns the layers without a holder in the group without disturbing the engines that serve requests.
+func (p *planner) place() {
+	p.initial = p.holdsNothing()
+	if p.initial {
 		p.placeInitial()
 	} else {
 		p.fillGaps()
 	}
-	p.placeReplicas(initial)
-	return p.orders
 }
 
 // holdsNothing reports whether no layer has a holder in the group.
@@ -212,28 +225,55 @@
 }
 
 // fillGaps assigns the layers without a holder in the group: first to empty engines, then to engines whose layers
-// others hold too, then to engines that hold the layers next to the gap and have room for more. Layers that cannot be
-// assigned this way are left to other groups. If no group holds them, the room for the KV cache is reduced to the
-// minimum, and as a last resort the whole group is placed again.
+// others hold too, then to engines that hold the layers next to the gap and have room for the rest of it. Gaps that
+// cannot be closed this way are left to other groups: a path has to leave the group even if a part of the gap is closed.
 func (p *planner) fillGaps() {
-	for gap := p.firstGap(); gap.Len() > 0; gap = p.firstGap() {
-		if p.fill(gap) {
-			continue
-		}
-		if p.orderUnknown {
-			return
-		}
-		if p.extend(gap) {
-			continue
-		}
-		if !p.missingAnywhere() {
-			return
-		}
-		if p.cacheTokens == minCacheTokens {
-			p.rebuild()
-			return
-		}
+	p.forEachGap(func(gap entity.LayerRange) bool {
+		return p.fill(gap) || !p.orderUnknown && p.closeByExtension(gap)
+	})
+}
+
+// remedy is a way to assign layers that no engine of the deployment holds.
+type remedy int
+
+// remedies lists the remedies in the order in which they are tried. Each is tried in all groups before the next one.
+var remedies = [...]remedy{extendInPart, reduceCache, placeAgain}
+
+const (
+	// extendInPart extends the engines next to a gap even if they cannot close it.
+	extendInPart remedy = iota
+	// reduceCache reduces the room for the KV cache to the minimum.
+	reduceCache
+	// placeAgain places the whole group again.
+	placeAgain
+)
+
+// apply tries a remedy if no engine of the deployment holds some layers.
+func (p *planner) apply(remedy remedy) {
+	if p.initial || p.orderUnknown || !p.missingAnywhere() {
+		return
+	}
+	switch remedy {
+	case reduceCache:
 		p.cacheTokens = minCacheTokens
+	case placeAgain:
+		p.rebuild()
+		return
+	}
+	p.forEachGap(func(gap entity.LayerRange) bool {
+		missing := p.missingIn(gap)
+		return missing.Len() > 0 && (p.fill(gap) || p.extend(gap, missing))
+	})
+}
+
+// forEachGap calls assign with each range of layers without a holder in the group. assign reports whether it has
+// assigned layers of the gap; it is then called with the rest of the gap.
+func (p *planner) forEachGap(assign func(gap entity.LayerRange) bool) {
+	from := 0
+	for gap := p.nextGap(from); gap.Len() > 0; gap = p.nextGap(from) {
+		if !assign(gap) {
+			from = gap.To
+		}
 	}
 }
 
@@ -247,34 +287,93 @@
 	return true
 }
 
-// extend assigns layers of a gap to an engine that holds the adjacent ones and has room, and reports whether there is
-// one.
-func (p *planner) extend(gap entity.LayerRange) bool {
+// closeByExtension assigns the layers of a gap to the engines that hold the adjacent ones, and reports whether they have
+// room for all of them. One engine is preferred to two.
+func (p *planner) closeByExtension(gap entity.LayerRange) bool {
+	before, after := p.neighbours(gap)
+	roomBefore, roomAfter := p.room(before), p.room(after)
+	if roomBefore+roomAfter < gap.Len() {
+		return false
+	}
+	split := gap.From
+	if roomAfter < gap.Len() {
+		split += min(roomBefore, gap.Len())
+	}
+	if split > gap.From {
+		p.extendTo(before, split)
+	}
+	if split < gap.To {
+		p.extendFrom(after, split)
+	}
+	return true
+}
+
+// extend assigns layers of a gap to an engine that holds the adjacent ones, up to the end of the missing layers, and
+// reports whether one has room for some of these.
+func (p *planner) extend(gap, missing entity.LayerRange) bool {
+	before, after := p.neighbours(gap)
+	if to := min(missing.To, gap.From+p.room(before)); to > missing.From {
+		p.extendTo(before, to)
+		return true
+	}
+	if from := max(missing.From, gap.To-p.room(after)); from < missing.To {
+		p.extendFrom(after, from)
+		return true
+	}
+	return false
+}
+
+// neighbours returns the indices of the engines with the most room that hold the layers before and after a gap, or -1.
+func (p *planner) neighbours(gap entity.LayerRange) (before, after int) {
+	before, after = -1, -1
 	for i, holder := range p.holders {
-		room := min(p.maxLayers(i)-holder.Held.Len(), gap.Len())
-		if holder.Fixed || holder.Lost || room <= 0 {
+		if holder.Fixed || holder.Lost || holder.Held.Len() == 0 {
 			continue
 		}
-		switch {
-		case holder.Held.To == gap.From:
-			p.addOrder(i, entity.LayerRange{From: holder.Held.From, To: gap.From + room}, reasonExtend)
-			return true
-		case holder.Held.From == gap.To:
-			p.addOrder(i, entity.LayerRange{From: gap.To - room, To: holder.Held.To}, reasonExtend)
-			return true
+		if holder.Held.To == gap.From && p.room(i) > p.room(before) {
+			before = i
+		}
+		if holder.Held.From == gap.To && p.room(i) > p.room(after) {
+			after = i
 		}
 	}
-	return false
+	return before, after
+}
+
+// room returns how many more layers engine i may hold; 0 if i is -1.
+func (p *planner) room(i int) int {
+	if i < 0 {
+		return 0
+	}
+	return max(0, p.maxLayers(i)-p.holders[i].Held.Len())
+}
+
+func (p *planner) extendTo(i, to int) {
+	p.addOrder(i, entity.LayerRange{From: p.holders[i].Held.From, To: to}, reasonExtend)
+}
+
+func (p *planner) extendFrom(i, from int) {
+	p.addOrder(i, entity.LayerRange{From: from, To: p.holders[i].Held.To}, reasonExtend)
 }
 
 // missingAnywhere reports whether a layer has no holder in the group or elsewhere in the deployment.
 func (p *planner) missingAnywhere() bool {
-	for layer, holders := range p.holdersInGroup {
-		if holders == 0 && p.holdersInDeployment[layer] == 0 {
-			return true
+	return p.missingIn(entity.LayerRange{To: p.engine.Layers}).Len() > 0
+}
+
+// missingIn returns the smallest range with all layers of a range that have no holder in the deployment.
+func (p *planner) missingIn(layers entity.LayerRange) entity.LayerRange {
+	missing := entity.LayerRange{}
+	for layer := layers.From; layer < layers.To; layer++ {
+		if p.holdersInDeployment[layer] > 0 {
+			continue
 		}
+		if missing.Len() == 0 {
+			missing.From = layer
+		}
+		missing.To = layer + 1
 	}
-	return false
+	return missing
 }
 
 // rebuild places the whole model again on the engines of the group that are not lost, regardless of the layers that
@@ -367,11 +466,10 @@
 	return best
 }
 
-// firstGap returns the first range of layers without a holder in the group, or an empty range.
-func (p *planner) firstGap() entity.LayerRange {
-	from := slices.Index(p.holdersInGroup, 0)
-	if from < 0 {
-		return entity.LayerRange{}
+// nextGap returns the first range of layers from layer from on without a holder in the group, or an empty range.
+func (p *planner) nextGap(from int) entity.LayerRange {
+	for from < len(p.holdersInGroup) && p.holdersInGroup[from] > 0 {
+		from++
 	}
 	to := from
 	for to < len(p.holdersInGroup) && p.holdersInGroup[to] == 0 {
@@ -407,8 +505,10 @@
 
 // addOrder adds an order for engine i and updates the plan as if the order were done.
 func (p *planner) addOrder(i int, layers entity.LayerRange, reason string) {
-	addHolders(p.holdersInGroup, p.holders[i].Held, -1)
-	addHolders(p.holdersInGroup, layers, 1)
+	for _, counts := range [][]int{p.holdersInGroup, p.holdersInDeployment} {
+		addHolders(counts, p.holders[i].Held, -1)
+		addHolders(counts, layers, 1)
+	}
 	p.holders[i].Held = layers
 	p.holders[i].Fixed = true
 	p.orders = append(p.orders, Order{Target: p.holders[i].ID, Layers: layers, Reason: reason})
