Keep room for the requests in progress when an engine takes further layers

Callers: streams were reset at the moment at which their engine was ordered to hold more layers.

Cause: the memory beside the layers of an engine holds its requests, and an engine cuts those that no longer fit. The plan kept room for a KV cache of at least 6,000 tokens per layer, however many the requests in progress used: an engine with some 40 streams on 6 layers went from room for 113,000 tokens per layer to 8,700.

Change: the plan knows the KV cache that the requests of all instances need on each engine, as the dispatcher counts it (with the expected length of their answers). Below that, layers are only taken that no engine of the deployment holds, after the room for later requests has been reduced in all zones: all streams stall without them. Such orders are marked, and so are those that place a group again.

--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -22,6 +22,9 @@
 	minCacheTokens = 6000.0
 	// maxCacheTokens is the largest KV cache that a plan keeps room for; beyond it, more replicas are of greater use.
 	maxCacheTokens = 90000.0
+	// requestReserve is the KV cache that a plan keeps room for on an engine that serves requests, as a multiple of what
+	// these need: the other instances start further ones before the order arrives, and answers may be longer than expected.
+	requestReserve = 1.25
 	// cacheTokenStep is the step of the search for the largest KV cache.
 	cacheTokenStep = 1000.0
 )
@@ -34,6 +37,8 @@
 	Card string
 	// Held is the range that the engine holds, or will hold once its current order is done.
 	Held entity.LayerRange
+	// CacheInUse is the KV cache that the requests in progress on the engine need, in tokens times layers.
+	CacheInUse float64
 	// Fixed engines get no order, because they are draining, suspected or already carrying out an order.
 	Fixed bool
 	// New engines have just joined or started. They take uncovered layers but no replicas yet: during a rolling
@@ -52,6 +57,9 @@
 	Layers entity.LayerRange
 	// Reason is a short text for the logs.
 	Reason string
+	// MayCutRequests reports whether the order is to be carried out even if the requests in progress on the engine no
+	// longer fit beside the layers. They would stall anyway, since no engine of the deployment holds some layers.
+	MayCutRequests bool
 }
 
 // Plan returns the orders needed for each group of holders to hold the whole model and replicas of some of its layers,
@@ -158,6 +166,8 @@
 	// the latter.
 	holdersInGroup      []int
 	holdersInDeployment []int
+	// mayCutRequests reports whether the requests in progress need no room.
+	mayCutRequests bool
 	// initial reports whether no engine of the group held layers.
 	initial bool
 	// orderUnknown reports whether an engine of the group is carrying out an order whose range is not known.
@@ -237,13 +247,15 @@
 type remedy int
 
 // remedies lists the remedies in the order in which they are tried. Each is tried in all groups before the next one.
-var remedies = [...]remedy{extendInPart, reduceCache, placeAgain}
+var remedies = [...]remedy{extendInPart, reduceCache, cutRequests, placeAgain}
 
 const (
 	// extendInPart extends the engines next to a gap even if they cannot close it.
 	extendInPart remedy = iota
 	// reduceCache reduces the room for the KV cache to the minimum.
 	reduceCache
+	// cutRequests keeps no room for the requests in progress.
+	cutRequests
 	// placeAgain places the whole group again.
 	placeAgain
 )
@@ -253,6 +265,8 @@
 	if p.initial || p.orderUnknown || !p.missingAnywhere() {
 		return
 	}
+	p.mayCutRequests = remedy >= cutRequests
+	defer func() { p.mayCutRequests = false }()
 	switch remedy {
 	case reduceCache:
 		p.cacheTokens = minCacheTokens
@@ -478,9 +492,18 @@
 	return entity.LayerRange{From: from, To: to}
 }
 
-// maxLayers returns how many layers engine i may hold in this plan.
+// maxLayers returns how many layers engine i may hold in this plan. An engine that serves requests may hold more than now
+// only if requests as many as now have room on each layer.
 func (p *planner) maxLayers(i int) int {
-	return p.engine.MaxLayers(p.engine.Cards[p.holders[i].Card], p.cacheTokens)
+	holder := p.holders[i]
+	card := p.engine.Cards[holder.Card]
+	most := p.engine.MaxLayers(card, p.cacheTokens)
+	held := holder.Held.Len()
+	if p.mayCutRequests || held == 0 {
+		return most
+	}
+	requestTokens := requestReserve * holder.CacheInUse / float64(held)
+	return min(most, max(held, p.engine.MaxLayers(card, requestTokens)))
 }
 
 // empty reports whether engine i holds no layers and can take an order.
@@ -511,7 +534,9 @@
 	}
 	p.holders[i].Held = layers
 	p.holders[i].Fixed = true
-	p.orders = append(p.orders, Order{Target: p.holders[i].ID, Layers: layers, Reason: reason})
+	p.orders = append(p.orders, Order{
+		Target: p.holders[i].ID, Layers: layers, Reason: reason, MayCutRequests: p.mayCutRequests,
+	})
 }
 
 // addHolders adds delta to the numbers of holders of layers.
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -250,7 +250,7 @@
 			if service == nil || service.Engine == nil {
 				continue
 			}
-			holders[service.ID] = append(holders[service.ID], p.holder(now, state, lost[id]))
+			holders[service.ID] = append(holders[service.ID], p.holder(now, f, state, lost[id]))
 			targets[id] = state.Target
 		}
 	})
@@ -269,9 +269,10 @@
 
 // holder describes an engine for the plan, including its pending order. It drops that order once the engine's entry
 // confirms it.
-func (p *Placer) holder(now time.Time, state *fleet.State, lost bool) placement.Holder {
+func (p *Placer) holder(now time.Time, f *fleet.Fleet, state *fleet.State, lost bool) placement.Holder {
+	_, cache := f.Load(now, state)
 	holder := placement.Holder{
-		ID: state.ID, Zone: state.Zone, Card: state.Card, Held: state.Layers,
+		ID: state.ID, Zone: state.Zone, Card: state.Card, Held: state.Layers, CacheInUse: cache,
 		Fixed: state.Changing || !state.Usable(now) || state.BacksOff(now),
 		Lost:  lost, New: p.isNew(now, state),
 	}
--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -51,7 +51,7 @@
 func newFakeCluster(engines int) *fakeCluster {
 	c := &fakeCluster{engines: make(map[entity.TargetID]*fakeEngine), reports: make(map[entity.TargetID]int)}
 	for i := range engines {
-		id := entity.TargetID(fmt.Sprintf("e%d", i))
+		id := engineID(i)
 		c.engines[id] = &fakeEngine{
 			target: fleet.Target{ID: id, Service: "llm", Zone: "a", Card: "card", Slots: 8, Born: 1},
 		}
@@ -59,6 +59,8 @@
 	return c
 }
 
+func engineID(i int) entity.TargetID { return entity.TargetID(fmt.Sprintf("e%d", i)) }
+
 func (c *fakeCluster) Get(context.Context, string, string) (*platformapi.Row, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
