--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -426,7 +426,26 @@
 		p.options.OrderGiven(outcome)
 	}
 	log.Event("order given", "target", target.ID, "card", target.Card, "from", order.Layers.From, "to", order.Layers.To,
-		"reason", order.Reason, "fencing", fencing, "orders", report.Orders, "outcome", outcome.String(), "error", reason)
+		"reason", order.Reason, "fencing", fencing, "orders", report.Orders, "outcome", outcome.String(), "error", reason,
+		"cacheInUse", int64(report.CacheInUse), "cacheCapacity", int64(p.cacheCapacity(target, order.Layers)))
+}
+
+// cacheCapacity returns the KV cache that fits on an engine beside the given layers, in tokens times layers.
+func (p *Placer) cacheCapacity(target fleet.Target, layers entity.LayerRange) float64 {
+	engine := p.engineOf(target)
+	if engine == nil {
+		return 0
+	}
+	return engine.CacheCapacity(engine.Cards[target.Card], layers.Len())
+}
+
+// engineOf returns the performance figures of the service of an engine, or nil if the configuration has none.
+func (p *Placer) engineOf(target fleet.Target) *routing.Engine {
+	configuration := p.options.View.Configuration()
+	if configuration == nil || configuration.Services[target.Service] == nil {
+		return nil
+	}
+	return configuration.Services[target.Service].Engine
 }
 
 func (p *Placer) recordPending(target fleet.Target, order pendingOrder) {
@@ -440,10 +459,8 @@
 // has begun to execute it.
 func (p *Placer) confirmTimeout(target fleet.Target, layers entity.LayerRange, begun bool) time.Duration {
 	expected := time.Duration(0)
-	if c := p.options.View.Configuration(); c != nil && c.Services[target.Service] != nil {
-		if engine := c.Services[target.Service].Engine; engine != nil {
-			expected = engine.LoadTime * time.Duration(layers.Len()) / time.Duration(max(1, engine.Layers))
-		}
+	if engine := p.engineOf(target); engine != nil {
+		expected = engine.LoadTime * time.Duration(layers.Len()) / time.Duration(max(1, engine.Layers))
 	}
 	timeout := max(minConfirmTimeout, loadTimeFactor*expected)
 	if begun && target.Layers.Len() > 0 {
