Withhold an order that the engine's report shows to cut requests

Callers: the plan knows the load of the other instances as last exchanged, so an order can still cut requests that were begun since, or streams whose answers are longer than expected.

Cause: the report that is read before an order was compared with the engine's entry, but not its KV cache in use with the room that the ordered range leaves.

Change: such an order is not sent (`order withheld` tells the figures), and the plans of the next two seconds use the reported figure. They choose another engine, leave the layers to another zone, or, if no engine of the deployment holds the layers, give the order in the knowledge that it cuts requests.

--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -62,7 +62,9 @@
 	drainAllowance = 10 * time.Second
 	// failureDelay is how long an engine gets no other order after one that it refused or that was not sent.
 	failureDelay = time.Second
-	storeTimeout = time.Second
+	// withheldPeriod is how long plans use the KV cache that an engine reported when an order to it was withheld.
+	withheldPeriod = 2 * time.Second
+	storeTimeout   = time.Second
 	// newEnginePeriod is how long an engine counts as new. After the initial placement, a new engine gets no replicas,
 	// so that it is free for the layers of an engine that it may replace.
 	newEnginePeriod = 1500 * time.Millisecond
@@ -134,8 +136,15 @@
 	// that its range is unknown. listed is the range in the engine's entry when this was found out.
 	untracked bool
 	listed    entity.LayerRange
+	// withheld reports whether the order was not sent since the requests on the engine, which use cacheInUse, would not
+	// fit beside the layers. The engine may get other orders.
+	withheld   bool
+	cacheInUse float64
 }
 
+// sent reports whether this instance has sent the order and the engine has not refused it.
+func (o pendingOrder) sent() bool { return !o.failed && !o.untracked && !o.withheld }
+
 // process records when a process of an engine was first seen. born is the start time of that process.
 type process struct {
 	born      int64
@@ -285,6 +294,8 @@
 		holder.Fixed, holder.OrderUnknown = true, state.Layers == order.listed
 	case order.failed:
 		holder.Fixed = true
+	case order.withheld:
+		holder.CacheInUse = max(holder.CacheInUse, order.cacheInUse)
 	case state.Layers == order.layers && !state.Changing:
 		delete(p.pending, state.ID)
 	default:
@@ -334,12 +345,12 @@
 	for id, order := range p.pending {
 		if now.After(order.expiresAt) {
 			delete(p.pending, id)
-			if !order.failed && !order.untracked {
+			if order.sent() {
 				log.Event("order did not show", "target", id, "from", order.layers.From, "to", order.layers.To)
 			}
 			continue
 		}
-		outstanding = outstanding || !order.failed && !order.untracked
+		outstanding = outstanding || order.sent()
 	}
 	return outstanding
 }
@@ -385,8 +396,8 @@
 	p.lease.OrderEnded()
 }
 
-// sendOrder reads the engine's report and sends the order unless the report contradicts the engine's entry. An engine that
-// asked to get no requests gets neither.
+// sendOrder reads the engine's report and sends the order, unless the report contradicts the engine's entry or shows that
+// the order would cut requests that it has to spare. An engine that asked to get no requests gets neither.
 func (p *Placer) sendOrder(ctx context.Context, order placement.Order, target fleet.Target, fencing uint64) {
 	if p.backsOff(target.ID) {
 		return
@@ -410,6 +421,15 @@
 			"holds", report.Layers, "listed", target.Layers)
 		return
 	}
+	capacity := p.cacheCapacity(target, order.Layers)
+	if !order.MayCutRequests && report.CacheInUse > capacity {
+		p.recordPending(target, pendingOrder{withheld: true, cacheInUse: report.CacheInUse,
+			expiresAt: boottime.Now().Add(withheldPeriod)})
+		log.Event("order withheld", "target", target.ID, "card", target.Card, "from", order.Layers.From, "to", order.Layers.To,
+			"reason", "the requests on the engine would not fit beside the layers", "cacheInUse", int64(report.CacheInUse),
+			"cacheCapacity", int64(capacity))
+		return
+	}
 	outcome, err := p.options.Engines.Place(ctx, target, order.Layers, fencing, report.Orders)
 	p.recordBackoff(target, err)
 	result := pendingOrder{layers: order.Layers,
@@ -427,7 +447,7 @@
 	}
 	log.Event("order given", "target", target.ID, "card", target.Card, "from", order.Layers.From, "to", order.Layers.To,
 		"reason", order.Reason, "fencing", fencing, "orders", report.Orders, "outcome", outcome.String(), "error", reason,
-		"cacheInUse", int64(report.CacheInUse), "cacheCapacity", int64(p.cacheCapacity(target, order.Layers)))
+		"cacheInUse", int64(report.CacheInUse), "cacheCapacity", int64(capacity))
 }
 
 // cacheCapacity returns the KV cache that fits on an engine beside the given layers, in tokens times layers.
--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -39,6 +39,8 @@
 	target fleet.Target
 	// orders is the number of orders that the engine has begun.
 	orders int64
+	// cacheInUse is the KV cache in use that the engine reports.
+	cacheInUse float64
 	// silent engines do not answer orders. Calling lateOrder executes the last order that got no answer.
 	silent    bool
 	lateOrder func()
@@ -111,7 +113,9 @@
 	}
 	defer c.mu.Unlock()
 	e := c.engines[target.ID]
-	return fleet.Report{Born: e.target.Born, Layers: e.target.Layers, Orders: e.orders, Changing: e.finishLoading != nil}, nil
+	return fleet.Report{
+		Born: e.target.Born, Layers: e.target.Layers, Orders: e.orders, Changing: e.finishLoading != nil, CacheInUse: e.cacheInUse,
+	}, nil
 }
 
 func (c *fakeCluster) Place(_ context.Context, target fleet.Target, to entity.LayerRange, _ uint64,
