Bound the memory of the bodies of all requests together

Cause: each body was read whole before the key was checked, and kept until its request ends, as a further attempt sends it again. Nothing bounded the bodies together; the soft limit of the runtime cannot free what is in use.

Change: a body is read into memory that is reserved first, from a share of the instance's memory; small bodies have a share of their own and never wait for large ones. A request that gets none within 0.5 s is refused as not run, its body is read and discarded so that the caller gets the refusal. Route and key are checked before the body. The soft limit of the runtime is 0.8 of the memory, since bodies in use may now come near the former 0.6. Metrics of both.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -44,12 +44,14 @@
 	maxHeaderBytes = 64 << 10
 	// memoryLimitRatio is the soft memory limit of the Go runtime as a fraction of the memory of the process. The
 	// garbage collector runs more often near that limit.
-	memoryLimitRatio = 0.6
-	// bodyMemoryRatio is the memory for buffered response bodies as a fraction of the memory of the process. Reading a
-	// body can take twice its size while the buffer grows.
-	bodyMemoryRatio     = 0.15
-	maintenanceInterval = time.Second
-	startTimeout        = 10 * time.Second
+	memoryLimitRatio = 0.8
+	// bodyMemoryRatio and requestBodyMemoryRatio are the memory for buffered response bodies and for the bodies of requests
+	// in progress as fractions of the memory of the process. Reading a body of unknown length can take twice its size while
+	// the buffer grows.
+	bodyMemoryRatio        = 0.15
+	requestBodyMemoryRatio = 0.65
+	maintenanceInterval    = time.Second
+	startTimeout           = 10 * time.Second
 	// millicores is the capacity of a whole core (see core/loadshare.Member).
 	millicores = 1000
 )
@@ -92,11 +94,17 @@
 	return gateway.New(gateway.Options{
 		Zone: entity.ZoneID(s.Zone), Codec: platform.Codec{}, Pool: pool, OnRequestEnd: m.observeRequest, Engines: engines,
 		OnStreamBroken: func(reason string) { m.BrokenStreams.WithLabelValues(reason).Inc() },
-		FirstStart:     s.FirstStart, BodyMemory: int64(float64(s.MemoryMB) * bodyMemoryRatio * (1 << 20)),
-		RetryLimit: retry.Limit{Ratio: s.Retries.Ratio, Slack: s.Retries.Slack, Span: time.Duration(s.Retries.Span)},
+		FirstStart:     s.FirstStart, BodyMemory: memoryShare(s, bodyMemoryRatio),
+		RequestBodyMemory: memoryShare(s, requestBodyMemoryRatio),
+		RetryLimit:        retry.Limit{Ratio: s.Retries.Ratio, Slack: s.Retries.Slack, Span: time.Duration(s.Retries.Span)},
 	})
 }
 
+// memoryShare returns a fraction of the memory of the process, in bytes.
+func memoryShare(s *settings.Edge, ratio float64) int64 {
+	return int64(float64(s.MemoryMB) * ratio * (1 << 20))
+}
+
 func newStore(s *settings.Edge) *platform.Store {
 	return platform.NewStore(s.Store.Address, time.Duration(s.Store.Timeout))
 }
@@ -280,7 +288,7 @@
 	if err := logging.Redirect(output, s.Verbosity); err != nil {
 		return err
 	}
-	debug.SetMemoryLimit(int64(float64(s.MemoryMB) * memoryLimitRatio * (1 << 20)))
+	debug.SetMemoryLimit(memoryShare(s, memoryLimitRatio))
 	var d *Daemon
 	app := fx.New(Module, fx.Supply(s), fx.Populate(&d), fx.StartTimeout(startTimeout),
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }))
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -128,6 +128,13 @@
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Name: "hyssophoist_edge_body_limit_bytes", Help: "Limit of the bytes of response bodies that are buffered.",
 		}, func() float64 { return float64(g.BodyMemoryLimit()) }),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "hyssophoist_edge_request_body_bytes", Help: "Bytes reserved for the bodies of requests in progress.",
+		}, func() float64 { return float64(g.RequestBodyMemoryUsed()) }),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "hyssophoist_edge_request_body_limit_bytes",
+			Help: "Limit of the bytes reserved for the bodies of requests in progress.",
+		}, func() float64 { return float64(g.RequestBodyMemoryLimit()) }),
 	)
 }
 
--- a/internal/emulator/edgeplatform/configuration.go
+++ b/internal/emulator/edgeplatform/configuration.go
@@ -19,6 +19,8 @@
 	PostAttempts int
 	// StreamTimeout is the timeout of streams, 5 s if 0.
 	StreamTimeout time.Duration
+	// MaxBodyBytes is the maximum size of a request body, 4096 if 0.
+	MaxBodyBytes int
 }
 
 // Row returns the value of the configuration row that the operator writes.
@@ -27,6 +29,10 @@
 	if c.StreamTimeout > 0 {
 		gen["timeoutMs"] = c.StreamTimeout.Milliseconds()
 	}
+	maxBodyBytes := 4096
+	if c.MaxBodyBytes > 0 {
+		maxBodyBytes = c.MaxBodyBytes
+	}
 	return map[string]any{
 		"version": c.Version,
 		"routes": []any{
@@ -43,7 +49,9 @@
 				"kinds":  []any{map[string]any{"name": "small", "sizeMb": 450, "pace": 1, "readFactor": 1}},
 			}},
 		},
-		"limits":  map[string]any{"maxHeaderBytes": 8192, "maxBodyBytes": 4096, "headerTimeoutMs": 1000, "idleTimeoutMs": 5000},
+		"limits": map[string]any{
+			"maxHeaderBytes": 8192, "maxBodyBytes": maxBodyBytes, "headerTimeoutMs": 1000, "idleTimeoutMs": 5000,
+		},
 		"tenants": []any{map[string]any{"name": c.Account, "apiKeys": c.Keys}},
 	}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -6,8 +6,6 @@
 
 import (
 	"context"
-	"errors"
-	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -57,8 +55,9 @@
 	FirstStart bool
 	// Engines reads the reports of engines and reroutes requests.
 	Engines Engines
-	// BodyMemory bounds the bytes of response bodies that are buffered at the same time.
-	BodyMemory int64
+	// BodyMemory bounds the bytes of response bodies that are buffered at the same time, RequestBodyMemory those of request
+	// bodies.
+	BodyMemory, RequestBodyMemory int64
 	// OnRequestEnd, if set, is called at the end of each request.
 	OnRequestEnd func(kind, result string, duration time.Duration)
 	// OnStreamBroken, if set, is called when a begun stream is closed before its end, with the reason why no further
@@ -75,6 +74,8 @@
 	// stop is set once the instance has been asked to stop.
 	stop   atomic.Pointer[drain.Stop]
 	bodies bodyBudget
+	// requestBodies is the memory for the bodies of requests in progress.
+	requestBodies *requestBodyMemory
 	// onCrash is set by OnCrash; it can be nil.
 	onCrash func()
 
@@ -105,7 +106,7 @@
 		dispatcher:   &dispatch.Dispatcher{Zone: options.Zone, Fleet: fleet.New()},
 		retryWindows: make(map[entity.ServiceID]*retry.Window),
 		requests:     make(map[*request]struct{}), streams: make(map[*stream]struct{}), retryEpoch: boottime.Now(),
-		quarantine: quarantine.New(rand.Float64),
+		quarantine: quarantine.New(rand.Float64), requestBodies: newRequestBodyMemory(options.RequestBodyMemory),
 	}
 	if options.FirstStart {
 		g.retryEpoch = g.retryEpoch.Add(-options.RetryLimit.Span)
@@ -213,6 +214,8 @@
 	retryReserved bool
 	// attemptedTargets names the target or path of each attempt, for the log.
 	attemptedTargets []string
+	// body is the memory that the request has taken for its own body.
+	body bodyReservation
 	// bodyBytes is what the request has taken from the memory for response bodies.
 	bodyBytes atomic.Int64
 	// stats returns the statistics of a stream; nil for other calls.
@@ -237,7 +240,8 @@
 		g.options.Codec.WriteError(w, "", errkind.Of(err), 0)
 		return
 	}
-	q := &request{Call: call, gateway: g, writer: w, arrivedAt: arrived}
+	q := &request{Call: call, gateway: g, writer: w, arrivedAt: arrived, body: bodyReservation{memory: g.requestBodies}}
+	defer q.body.give()
 	q.serve()
 }
 
@@ -273,18 +277,31 @@
 	q.serveBuffered(ctx)
 }
 
-// admit reads the request body and finds the route, account and service. On failure it returns false and the error
+// admit finds the route, account and service of the request and reads its body. On failure it returns false and the error
 // kind.
 func (q *request) admit() (errkind.Kind, bool) {
 	configuration := q.gateway.configuration.Load()
 	if configuration == nil {
 		return errkind.NoConfiguration, false
 	}
-	if kind, ok := q.readBody(configuration.Limits.BodyBytes); !ok {
+	limit := configuration.Limits.BodyBytes
+	if kind, ok := q.resolve(configuration); !ok {
+		if err := q.discardBody(limit); err != nil {
+			log.Debugf("failed to discard the body of refused request %s: %v", q.ID, err)
+		}
+		return kind, false
+	}
+	if kind, ok := q.readBody(limit); !ok {
 		return kind, false
 	}
-	// The configuration may have changed while the body arrived.
-	configuration = q.gateway.configuration.Load()
+	if current := q.gateway.configuration.Load(); current != configuration { // it has changed while the body arrived
+		return q.resolve(current)
+	}
+	return "", true
+}
+
+// resolve finds the route, account and service of the request. On failure it returns false and the error kind.
+func (q *request) resolve(configuration *routing.Configuration) (errkind.Kind, bool) {
 	q.configuration = configuration
 	path, _, _ := strings.Cut(q.Request.RequestURI, "?")
 	q.route = configuration.Match(hostWithoutPort(q.Request.Host), path)
@@ -311,24 +328,6 @@
 	return host
 }
 
-// readBody reads the body of the caller's request, at most limit bytes unless limit is 0.
-func (q *request) readBody(limit int64) (errkind.Kind, bool) {
-	body := q.Request.Body
-	if limit > 0 {
-		body = http.MaxBytesReader(q.writer, body, limit)
-	}
-	content, err := io.ReadAll(body)
-	if err == nil {
-		q.Body = content
-		return "", true
-	}
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return errkind.TooLarge, false
-	}
-	return errkind.BadRequest, false
-}
-
 // priority returns the priority of the account if it has one, else that of the route; 0 is the most urgent.
 func (q *request) priority() int {
 	if q.account.HasPriority {
--- /dev/null
+++ b/internal/gateway/requestbody.go
@@ -0,0 +1,176 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/semaphore"
+
+	"github.com/hyssophoist/hyssophoist/core/errkind"
+)
+
+const (
+	// smallBodyBytes is the size up to which a body counts as small. Small bodies have memory of their own, so that
+	// they never wait for large ones.
+	smallBodyBytes = 64 << 10
+	// smallBodyRatio is the part of the memory for request bodies that is kept for small ones.
+	smallBodyRatio = 1.0 / 16
+	// maxBodyMemoryWait bounds the wait for memory for a body, which is free again when other requests end.
+	maxBodyMemoryWait = 500 * time.Millisecond
+	// firstBodyBuffer is the size of the first buffer for a body of unknown length.
+	firstBodyBuffer = 4 << 10
+)
+
+// errNoBodyMemory is returned for a request body that does not fit into the memory for the bodies of all requests.
+var errNoBodyMemory = errors.New("bodies of requests in progress use up the memory for them")
+
+// requestBodyMemory bounds the memory of the bodies of all requests in progress together: they are kept until their
+// requests end, since a further attempt sends them again. It is safe for concurrent use.
+type requestBodyMemory struct {
+	small, large bodyPool
+	used         atomic.Int64
+}
+
+// bodyPool is the memory for the bodies of a kind, in bytes.
+type bodyPool struct {
+	free  *semaphore.Weighted
+	limit int64
+}
+
+func newBodyPool(limit int64) bodyPool {
+	return bodyPool{free: semaphore.NewWeighted(limit), limit: limit}
+}
+
+func newRequestBodyMemory(limit int64) *requestBodyMemory {
+	small := int64(smallBodyRatio * float64(limit))
+	return &requestBodyMemory{small: newBodyPool(small), large: newBodyPool(limit - small)}
+}
+
+// RequestBodyMemoryUsed returns the bytes reserved for the bodies of requests in progress.
+func (g *Gateway) RequestBodyMemoryUsed() int64 { return g.requestBodies.used.Load() }
+
+// RequestBodyMemoryLimit returns Options.RequestBodyMemory.
+func (g *Gateway) RequestBodyMemoryLimit() int64 { return g.options.RequestBodyMemory }
+
+// bodyReservation is the memory that one request has taken for its body.
+type bodyReservation struct {
+	memory       *requestBodyMemory
+	small, large int64
+}
+
+// grow extends the reservation to size bytes, for which it waits until ctx ends.
+func (r *bodyReservation) grow(ctx context.Context, size int64) error {
+	if size <= smallBodyBytes {
+		return r.take(ctx, r.memory.small, &r.small, size)
+	}
+	if err := r.take(ctx, r.memory.large, &r.large, size); err != nil {
+		return err
+	}
+	r.memory.release(r.memory.small, &r.small)
+	return nil
+}
+
+// take extends what is taken from one of the pools to size bytes.
+func (r *bodyReservation) take(ctx context.Context, pool bodyPool, taken *int64, size int64) error {
+	missing := size - *taken
+	if size > pool.limit || pool.free.Acquire(ctx, missing) != nil {
+		return errNoBodyMemory
+	}
+	*taken = size
+	r.memory.used.Add(missing)
+	return nil
+}
+
+// give returns the memory of the reservation.
+func (r *bodyReservation) give() {
+	r.memory.release(r.memory.small, &r.small)
+	r.memory.release(r.memory.large, &r.large)
+}
+
+// release returns to a pool what was taken from it.
+func (m *requestBodyMemory) release(pool bodyPool, taken *int64) {
+	m.used.Add(-*taken)
+	pool.free.Release(*taken)
+	*taken = 0
+}
+
+// readBody reads the body of the caller's request, at most limit bytes unless limit is 0. If there is no memory for it
+// within maxBodyMemoryWait, the rest is discarded, so that the caller reads the refusal on an open connection.
+func (q *request) readBody(limit int64) (errkind.Kind, bool) {
+	if limit > 0 && q.Request.ContentLength > limit {
+		return errkind.TooLarge, false
+	}
+	body := q.limitedBody(limit)
+	content, err := q.readReserved(body)
+	if errors.Is(err, errNoBodyMemory) {
+		q.lastErr = err
+		if _, err = io.Copy(io.Discard, body); err == nil {
+			return errkind.Overloaded, false
+		}
+	}
+	if err == nil {
+		q.Body = content
+		return "", true
+	}
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return errkind.TooLarge, false
+	}
+	return errkind.BadRequest, false
+}
+
+// limitedBody returns the body of the caller's request, of which at most limit bytes can be read unless limit is 0.
+func (q *request) limitedBody(limit int64) io.Reader {
+	if limit == 0 {
+		return q.Request.Body
+	}
+	return http.MaxBytesReader(q.writer, q.Request.Body, limit)
+}
+
+// discardBody reads the body of a request that is refused, so that the caller reads the refusal on an open connection.
+func (q *request) discardBody(limit int64) error {
+	_, err := io.Copy(io.Discard, q.limitedBody(limit))
+	return err
+}
+
+// readReserved reads a body into memory that it reserves first.
+func (q *request) readReserved(body io.Reader) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(q.Request.Context(), maxBodyMemoryWait)
+	defer cancel()
+	length := q.Request.ContentLength
+	if length < 0 {
+		return q.readChunked(ctx, body)
+	}
+	if err := q.body.grow(ctx, length); err != nil {
+		return nil, err
+	}
+	content := make([]byte, length)
+	_, err := io.ReadFull(body, content)
+	return content, err
+}
+
+// readChunked reads a body of unknown length into a buffer that grows with it.
+func (q *request) readChunked(ctx context.Context, body io.Reader) ([]byte, error) {
+	var content []byte
+	for {
+		if len(content) == cap(content) {
+			size := max(firstBodyBuffer, 2*cap(content))
+			if err := q.body.grow(ctx, int64(size)); err != nil {
+				return nil, err
+			}
+			content = append(make([]byte, 0, size), content...)
+		}
+		n, err := body.Read(content[len(content):cap(content)])
+		content = content[:len(content)+n]
+		if errors.Is(err, io.EOF) {
+			return content, nil
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+}
