Take no response without a request id on a reused connection

Cause: a response without X-Request-Id was taken for that of the current request, whatever the connection had carried before.

Change: such a response is skipped on a reused connection, like one that names another request. On a new connection it is the only request's; the connection is then not used again, so targets that never name a request are still served.

--- a/internal/emulator/edgeplatform/serving.go
+++ b/internal/emulator/edgeplatform/serving.go
@@ -42,7 +42,9 @@
 	t.mu.Unlock()
 	t.fallSilent(0)
 	t.awaitEndOfSilence()
-	w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+	if !faults.OmitRequestID {
+		w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+	}
 	if faults.CloseDelimited {
 		w.Header().Set("Transfer-Encoding", "identity")
 	}
@@ -74,6 +76,10 @@
 		return
 	}
 	text := "answer to " + r.Header.Get("X-Request-Id")
+	if faults.ExtraResponse {
+		t.writeTwoResponses(w, r, faults.ExtraResponseID, text)
+		return
+	}
 	if !faults.OmitStamp {
 		w.Header().Set("X-Server-Stamp", "stamp-"+t.ID)
 	}
@@ -97,6 +103,25 @@
 	_, _ = io.WriteString(w, text)
 }
 
+// writeTwoResponses writes a copy of an earlier response, which names extraID if it is not empty, and the response.
+func (t *Target) writeTwoResponses(w http.ResponseWriter, r *http.Request, extraID, text string) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	defer conn.Close()
+	write := func(id, body string) {
+		named := ""
+		if id != "" {
+			named = "X-Request-Id: " + id + "\r\n"
+		}
+		// An error means that the other side has closed the connection, as it may after the copy.
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%sX-Server-Stamp: stamp-%s\r\nContent-Length: %d\r\n\r\n%s", named, t.ID, len(body), body)
+	}
+	write(extraID, "answer to an earlier request")
+	write(r.Header.Get("X-Request-Id"), text)
+}
+
 // serveEndless writes the start of a response and then the same bytes until the connection is closed.
 func (t *Target) serveEndless(w http.ResponseWriter, r *http.Request, faults TargetFaults) {
 	conn, _, err := http.NewResponseController(w).Hijack()
--- a/internal/emulator/edgeplatform/target_faults.go
+++ b/internal/emulator/edgeplatform/target_faults.go
@@ -45,6 +45,12 @@
 	Truncate bool
 	// OmitStamp omits the header X-Server-Stamp, which shows that a response of a plain service comes from the target.
 	OmitStamp bool
+	// ExtraResponse makes the target of a plain service write a copy of an earlier response before each response and close
+	// the connection after the latter. Without ExtraResponseID the copy names no request.
+	ExtraResponse   bool
+	ExtraResponseID string
+	// OmitRequestID omits the header X-Request-Id.
+	OmitRequestID bool
 	// EndlessHead and EndlessBody make responses of plain services go on until the other side closes the connection, in
 	// a line of the head or in the body.
 	EndlessHead, EndlessBody bool
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -107,8 +107,8 @@
 	return err
 }
 
-// readHead reads the head of the response with the given request id. It skips interim responses and,
-// on a reused connection, late responses to earlier requests.
+// readHead reads the head of the response with the given request id. It skips interim responses and responses to other
+// requests. One that names no request is taken only on a connection that has carried no other, and ends its reuse.
 func (x *exchange) readHead(request *http.Request, id string) error {
 	for range 1 + maxSkippedResponses {
 		x.conn.LimitReads(maxHeadBytes)
@@ -122,7 +122,7 @@
 		}
 		head := x.gateway.options.Codec.DecodeResponseHead(response)
 		x.recordIfLeaving(head, id)
-		if head.RequestID == "" || head.RequestID == id {
+		if head.RequestID == id || head.RequestID == "" && !x.conn.Reused {
 			x.response, x.head = response, head
 			return nil
 		}
@@ -163,14 +163,19 @@
 
 // releaseConn returns the connection to the pool after a complete response, or closes it if it cannot be reused.
 func (x *exchange) releaseConn() {
-	if !x.stopCloseOnCancel() || x.response.Close || x.response.ContentLength < 0 && len(x.response.TransferEncoding) == 0 ||
-		x.targetReplaced() {
+	if !x.stopCloseOnCancel() || !x.endsWithinConn() || x.head.RequestID == "" || x.targetReplaced() {
 		x.conn.Close()
 		return
 	}
 	x.gateway.options.Pool.Put(x.conn, x.head.KeepAlive)
 }
 
+// endsWithinConn reports whether the response ends before its connection does.
+func (x *exchange) endsWithinConn() bool {
+	framed := x.response.ContentLength >= 0 || len(x.response.TransferEncoding) > 0
+	return framed && !x.response.Close
+}
+
 // abort closes the connection, which makes the target cancel the request.
 func (x *exchange) abort() {
 	x.stopCloseOnCancel()
