--- a/internal/callerconn/callerconn.go
+++ b/internal/callerconn/callerconn.go
@@ -43,6 +43,12 @@
 type Options struct {
 	// OnUnanswered, if set, is called for each connection that is closed without an answer.
 	OnUnanswered func(Unanswered)
+	// ClosingResponse, if set, returns the response that is written to a connection without a request before it is
+	// closed after a timeout. It must say that a request which is on its way has not run and will not run. It is not
+	// written to TLS connections.
+	ClosingResponse func() []byte
+	// OnCrossed, if set, is called for each connection on which something arrived after its ClosingResponse.
+	OnCrossed func(Crossed)
 }
 
 // Listener accepts connections and tracks them. It is safe for concurrent use.
@@ -109,18 +115,20 @@
 
 // SetState is the ConnState hook of the server. It tells a connection whether a request is in progress on it.
 func (l *Listener) SetState(c net.Conn, state http.ConnState) {
-	if secure, ok := c.(*tls.Conn); ok {
+	secure, encrypted := c.(*tls.Conn)
+	if encrypted {
 		c = secure.NetConn()
 	}
 	tracked := c.(*conn)
 	tracked.mu.Lock()
 	defer tracked.mu.Unlock()
+	tracked.encrypted = encrypted
 	tracked.handling = state == http.StateActive
 }
 
 // Finish stops accepting connections and closes those that carry no request, each once nothing has arrived on it for
-// drain.Linger. Requests that arrive until then are served. It returns when all connections have ended, or with the error
-// of ctx.
+// drain.Linger, with Options.ClosingResponse. Requests that arrive until then are served. It returns when all connections
+// have ended, or with the error of ctx.
 func (l *Listener) Finish(ctx context.Context) error {
 	l.mu.Lock()
 	l.finishing = true
@@ -174,6 +182,10 @@
 	close    sync.Once
 
 	mu sync.Mutex
+	// encrypted reports whether the server uses TLS on the connection.
+	encrypted bool
+	// refused reports whether the connection ends with Options.ClosingResponse.
+	refused bool
 	// handling reports whether the server handles a request.
 	handling bool
 	// received counts the bytes read since the last write; firstAt is when the first of them was read.
@@ -213,23 +225,17 @@
 
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
+	if c.isRefused() {
+		return 0, os.ErrDeadlineExceeded
+	}
 	n, err := c.Conn.Read(p)
-	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.requestHasArrived() {
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.onReadTimeout() {
 		n, err = c.Conn.Read(p)
 	}
 	c.recordRead(n, err)
 	return n, err
 }
 
-// requestHasArrived reports whether the read that has timed out did so because the connection lingers, and bytes have
-// arrived meanwhile: a read whose deadline has passed does not look for any. The connection then gets the deadline of the
-// server again.
-func (c *conn) requestHasArrived() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.lingering && !c.carriesRequest() && hasUnread(c.Conn) && c.Conn.SetReadDeadline(c.readDeadline) == nil
-}
-
 func (c *conn) recordRead(n int, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -249,6 +255,9 @@
 
 // Write implements net.Conn.
 func (c *conn) Write(p []byte) (int, error) {
+	if c.isRefused() {
+		return 0, net.ErrClosed
+	}
 	n, err := c.Conn.Write(p)
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -259,8 +268,12 @@
 	return n, err
 }
 
-// Close implements net.Conn.
+// Close implements net.Conn. A connection that is refused is closed in the background.
 func (c *conn) Close() error {
+	if c.isRefused() {
+		c.close.Do(func() { go c.endRefused() })
+		return nil
+	}
 	c.close.Do(func() {
 		c.reportUnanswered()
 		c.listener.remove(c)
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -32,6 +32,9 @@
 	// UnansweredConnections counts connections of callers that were closed although a request, or a part of one, had
 	// arrived and nothing was written back.
 	UnansweredConnections prometheus.Counter
+	// CrossedConnections counts idle connections of callers on which a request arrived after they had been closed with
+	// a refusal.
+	CrossedConnections prometheus.Counter
 	// ConfigurationVersion is the version of the configuration in force.
 	ConfigurationVersion prometheus.Gauge
 }
@@ -63,12 +66,16 @@
 			Name: "hyssophoist_edge_unanswered_connections_total",
 			Help: "Connections of callers closed without an answer to what they had sent.",
 		}),
+		CrossedConnections: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "hyssophoist_edge_crossed_connections_total",
+			Help: "Idle connections of callers on which a request was sent while they were closed, and refused as not run.",
+		}),
 		ConfigurationVersion: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "hyssophoist_edge_configuration_version", Help: "Version of the configuration in force.",
 		}),
 	}
 	m.registry.MustRegister(m.Requests, m.Duration, m.BrokenStreams, m.Dials, m.Orders, m.StoreErrors,
-		m.UnansweredConnections, m.ConfigurationVersion, collectors.NewGoCollector())
+		m.UnansweredConnections, m.CrossedConnections, m.ConfigurationVersion, collectors.NewGoCollector())
 	return m
 }
 
--- a/internal/edge/stop.go
+++ b/internal/edge/stop.go
@@ -8,6 +8,7 @@
 
 	"github.com/hyssophoist/hyssophoist/core/drain"
 	"github.com/hyssophoist/hyssophoist/internal/callerconn"
+	"github.com/hyssophoist/hyssophoist/platform"
 )
 
 const (
@@ -23,7 +24,11 @@
 	if err != nil {
 		return fmt.Errorf("listen on %s: %w", d.settings.Front, err)
 	}
-	d.callers = callerconn.Track(listener.(*net.TCPListener), callerconn.Options{OnUnanswered: d.recordUnanswered})
+	d.callers = callerconn.Track(listener.(*net.TCPListener), callerconn.Options{
+		OnUnanswered:    d.recordUnanswered,
+		ClosingResponse: func() []byte { return platform.Codec{}.ClosingResponse(time.Now()) },
+		OnCrossed:       d.recordCrossed,
+	})
 	d.front.ConnState = d.callers.SetState
 	d.serve(d.front, d.callers)
 	return nil
@@ -36,8 +41,15 @@
 		"ms", u.Waited.Milliseconds(), "stopping", d.draining.Load())
 }
 
+// recordCrossed records that a request was sent on an idle connection while the daemon closed it, and refused as not run.
+func (d *Daemon) recordCrossed(c callerconn.Crossed) {
+	d.metrics.CrossedConnections.Inc()
+	log.Event("request crossed the close of its connection", "remote", c.Remote, "discarded", c.Discarded,
+		"ms", c.Open.Milliseconds(), "stopping", d.draining.Load())
+}
+
 // drain reports the daemon as not ready and accepts connections until the balancer sends no more (see core/drain). It
-// then closes those that carry no request, and waits for the requests in progress. Those that last until stopMargin
+// then refuses and closes those that carry no request, and waits for the requests in progress. Those that last until stopMargin
 // before the end of the grace time are cancelled, so that their callers get an answer.
 func (d *Daemon) drain() {
 	now := time.Now()
--- a/internal/edge/stop_test.go
+++ b/internal/edge/stop_test.go
@@ -12,6 +12,8 @@
 	"testing"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus/testutil"
+
 	"github.com/hyssophoist/hyssophoist/core/drain"
 	"github.com/hyssophoist/hyssophoist/internal/emulator/edgeplatform"
 	"github.com/hyssophoist/hyssophoist/internal/testenv"
@@ -226,3 +228,32 @@
 		}
 	}
 }
+
+// TestRequestThatCrossesCloseIsRefused guards against requests that end without an answer and without a trace because
+// they were sent while a stopping daemon closed their idle connection.
+func TestRequestThatCrossesCloseIsRefused(t *testing.T) {
+	t.Parallel()
+	for name, kept := range map[string]bool{"new connection": false, "kept connection": true} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			d := newDeployment(t)
+			daemon := d.addDaemon("a")
+			caller := dialCaller(t, daemon)
+			if kept {
+				caller.write(posting("first"))
+				status, err := caller.answer()
+				d.checkAnswered(t, "first", status, err)
+			}
+			go daemon.drain()
+			_, _ = caller.reader.Peek(1) // returns once the daemon has closed the connection, which this caller has not noticed
+			caller.write(posting("crossing"))
+			status, err := caller.answer()
+			if runs := d.runsOf("crossing"); status != http.StatusRequestTimeout || len(runs) > 0 {
+				t.Errorf("status %d, %v, runs %+v", status, err, runs)
+			}
+			d.waitUntil("crossing request is counted", func() bool {
+				return testutil.ToFloat64(daemon.metrics.CrossedConnections) == 1
+			})
+		})
+	}
+}
--- a/test/soak/daemon_test.go
+++ b/test/soak/daemon_test.go
@@ -227,6 +227,15 @@
 	return anyWithin(d.stopTimes, nearGraceEnd, from, to)
 }
 
+// wasStopping reports whether the daemon was in a graceful shutdown at a time between from and to.
+func (d *daemon) wasStopping(from, to time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return slices.ContainsFunc(d.stopTimes, func(at time.Time) bool {
+		return !at.After(to) && !at.Add(time.Duration(d.settings.StopGrace)).Before(from)
+	})
+}
+
 // anyWithin reports whether any of the given times, each with delay added, is between from and to.
 func anyWithin(times []time.Time, delay time.Duration, from, to time.Time) bool {
 	return slices.ContainsFunc(times, func(at time.Time) bool {
