--- a/internal/callerconn/callerconn.go
+++ b/internal/callerconn/callerconn.go
@@ -60,6 +60,8 @@
 	mu        sync.Mutex
 	conns     map[*conn]struct{}
 	finishing bool
+	// lingerTime is how long a connection without a request is still read once finishing is set.
+	lingerTime time.Duration
 	// acceptsOnceMore reports whether the deadline of Finish has passed, and another one is set.
 	acceptsOnceMore bool
 	// accepted is closed when Accept has returned ErrFinished.
@@ -107,7 +109,7 @@
 	defer l.mu.Unlock()
 	c := &conn{Conn: inner, listener: l}
 	if l.finishing {
-		c.linger()
+		c.linger(l.lingerTime)
 	}
 	l.conns[c] = struct{}{}
 	return c
@@ -131,10 +133,10 @@
 // have ended, or with the error of ctx.
 func (l *Listener) Finish(ctx context.Context) error {
 	l.mu.Lock()
-	l.finishing = true
+	l.finishing, l.lingerTime = true, drain.Linger
 	err := l.TCPListener.SetDeadline(time.Now().Add(drain.Linger))
 	for c := range l.conns {
-		c.linger()
+		c.linger(drain.Linger)
 	}
 	l.mu.Unlock()
 	if err != nil {
@@ -148,6 +150,17 @@
 	return l.Wait(ctx)
 }
 
+// FinishNow closes connections that carry no request without waiting for drain.Linger, and the others once their request
+// has been answered. It is called after Finish, shortly before the server ends.
+func (l *Listener) FinishNow() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.lingerTime = 0
+	for c := range l.conns {
+		c.linger(0)
+	}
+}
+
 // Wait returns when all connections have ended, or with the error of ctx.
 func (l *Listener) Wait(ctx context.Context) error {
 	ticker := time.NewTicker(finishPollInterval)
@@ -197,18 +210,19 @@
 	// connection has an earlier one.
 	readDeadline time.Time
 	lingering    bool
+	lingerTime   time.Duration
 }
 
 // carriesRequest reports whether a request is arriving or in progress. The caller holds c.mu.
 func (c *conn) carriesRequest() bool { return c.handling || c.received > 0 }
 
-// linger makes reads fail once nothing has arrived for drain.Linger, unless a request is arriving or in progress.
-func (c *conn) linger() {
+// linger makes reads fail once nothing has arrived for lingerTime, unless a request is arriving or in progress.
+func (c *conn) linger(lingerTime time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.lingering = true
-	if !c.carriesRequest() {
-		_ = c.Conn.SetReadDeadline(time.Now().Add(drain.Linger)) // an error means that the connection is closed
+	c.lingering, c.lingerTime = true, lingerTime
+	if !c.refused && !c.carriesRequest() {
+		_ = c.Conn.SetReadDeadline(time.Now().Add(lingerTime)) // an error means that the connection is closed
 	}
 }
 
@@ -218,7 +232,7 @@
 	defer c.mu.Unlock()
 	c.readDeadline = deadline
 	if c.lingering && !c.carriesRequest() {
-		deadline = time.Now().Add(drain.Linger)
+		deadline = time.Now().Add(c.lingerTime)
 	}
 	return c.Conn.SetReadDeadline(deadline)
 }
--- a/internal/callerconn/refusal_test.go
+++ b/internal/callerconn/refusal_test.go
@@ -126,6 +126,51 @@
 	}
 }
 
+// TestConnectionsAreRefusedAtOnceBeforeTheEnd guards against idle connections that the end of the process closes without a
+// refusal, since they still linger.
+func TestConnectionsAreRefusedAtOnceBeforeTheEnd(t *testing.T) {
+	const maxTries = 5
+	for range maxTries {
+		if took := timeUntilRefusal(t); took < drain.Linger {
+			return
+		}
+	}
+	t.Errorf("no refusal before %v in any of %d tries", drain.Linger, maxTries)
+}
+
+// timeUntilRefusal returns the time from an answer that ends after FinishNow until its connection is refused.
+func timeUntilRefusal(t *testing.T) time.Duration {
+	s := newRefusingTestServer(t)
+	arrived, proceed := make(chan struct{}), make(chan struct{})
+	s.server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		close(arrived)
+		<-proceed
+		s.ServeHTTP(w, r)
+	})
+	s.serve()
+	c := s.dial()
+	if _, err := io.WriteString(c, strings.Replace(get("/long"), "close", "keep-alive", 1)); err != nil {
+		t.Fatal(err)
+	}
+	<-arrived
+	ctx, cancel := context.WithTimeout(context.Background(), time.Millisecond)
+	defer cancel()
+	if err := s.listener.Finish(ctx); err == nil {
+		t.Fatal("Finish did not wait for the request")
+	}
+	s.listener.FinishNow()
+	close(proceed)
+	reader := bufio.NewReader(c)
+	if status, got, err := readStatus(reader); status != http.StatusOK || got != "/long" {
+		t.Fatalf("answer %d %q, %v", status, got, err)
+	}
+	answered := time.Now()
+	if status, _, err := readStatus(reader); status != http.StatusRequestTimeout {
+		t.Fatalf("after the answer: status %d, %v", status, err)
+	}
+	return time.Since(answered)
+}
+
 // TestRequestInProgressIsNotRefused guards against a refusal that is written into a connection whose request has arrived
 // or runs.
 func TestRequestInProgressIsNotRefused(t *testing.T) {
--- a/internal/edge/stop.go
+++ b/internal/edge/stop.go
@@ -66,6 +66,7 @@
 	}
 	log.Event("requests are cut off at the end of the grace time", "connections", d.callers.Count())
 	d.gateway.CancelRequests()
+	d.callers.FinishNow()
 	ctx, cancel = context.WithTimeout(context.Background(), answerMargin)
 	defer cancel()
 	if err := d.callers.Wait(ctx); err != nil {
