Answer requests before the limit of their caller

Seen by callers: a lookup, a posting or a stream that was not served in its time got its 504, or the 500 that the instance held, some milliseconds after it had stopped waiting: neither an answer nor a refusal.

Cause: the time of a request ended at the limit of its caller, counted from its arrival. The limit counts from the sending, and the response needs the way back. Targets were told the same time, and more by the time that their connection took to open.

Change: a request times out before the limit that its caller names: 25 ms earlier, at most half of a short limit (dispatch.ResponseTimeout). Where no time is left for an attempt it is refused as not run. The timeout of a route has no margin. Targets of plain services get 10 ms less than is left and not the time that the connection took. A stream whose first event arrives in time keeps the whole limit of its caller; the first event and the timeout are decided under one lock, and so is the end of a stop. The line of the end of a request has the limit of its caller (limitMs).

--- a/internal/emulator/edgeplatform/serving.go
+++ b/internal/emulator/edgeplatform/serving.go
@@ -36,7 +36,7 @@
 		t.runs = append(t.runs, Run{
 			RequestID: r.Header.Get("X-Request-Id"), Tenant: r.Header.Get("X-Tenant"), Path: r.RequestURI,
 			LastEvent: r.Header.Get("Last-Event-Id"), Hops: r.Header.Get("X-Hops"), Body: string(body),
-			At: time.Now(),
+			Timeout: timeoutOf(r), At: time.Now(),
 		})
 	}
 	t.mu.Unlock()
@@ -67,6 +67,15 @@
 	}
 }
 
+// timeoutOf returns how long a request allows its target to work on it, or 0 if it does not say.
+func timeoutOf(r *http.Request) time.Duration {
+	milliseconds, err := strconv.Atoi(r.Header.Get("X-Deadline-Ms"))
+	if err != nil {
+		return 0
+	}
+	return time.Duration(milliseconds) * time.Millisecond
+}
+
 func (t *Target) servePlain(w http.ResponseWriter, r *http.Request, faults TargetFaults) {
 	time.Sleep(t.Latency)
 	if faults.EndlessHead || faults.EndlessBody {
--- a/internal/emulator/edgeplatform/target.go
+++ b/internal/emulator/edgeplatform/target.go
@@ -11,7 +11,9 @@
 type Run struct {
 	RequestID, Tenant, Path, LastEvent, Hops string
 	Body                                     string
-	At                                       time.Time
+	// Timeout is how long the target may work on the request.
+	Timeout time.Duration
+	At      time.Time
 }
 
 // Arrival is a request that a target has received, whether it ran or not.
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -49,10 +49,14 @@
 // most headTimeout. newConn requests a new connection instead of one from the pool. An error that wraps errNotSent
 // means that the target has not received the request.
 func (g *Gateway) send(ctx context.Context, attempt *Attempt, newConn bool, headTimeout time.Duration) (*exchange, error) {
+	begunAt := time.Now()
 	conn, err := g.options.Pool.Get(ctx, attempt.Target.Address, newConn)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", errNotSent, err)
 	}
+	connectTime := time.Since(begunAt)
+	attempt.Timeout -= connectTime
+	headTimeout -= connectTime
 	x := &exchange{gateway: g, target: attempt.Target, conn: conn}
 	x.stopCloseOnCancel = context.AfterFunc(ctx, func() { conn.Close() })
 	request := g.options.Codec.EncodeAttempt(attempt)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -161,9 +161,9 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for q := range g.requests {
-		q.deadline = q.deadline.Add(-suspended)
+		q.deadline, q.limit = q.deadline.Add(-suspended), q.limit.Add(-suspended)
 		if time.Until(q.deadline) <= 0 {
-			q.cancel(context.DeadlineExceeded)
+			q.expire()
 		}
 	}
 }
@@ -177,7 +177,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for q := range g.requests {
-		q.cancel(context.DeadlineExceeded)
+		q.expire()
 	}
 }
 
@@ -197,8 +197,12 @@
 	account       routing.Account
 	service       *routing.Service
 	arrivedAt     time.Time
-	// deadline is when the request times out; it is guarded by gateway.mu.
-	deadline time.Time
+	// deadline is when the request times out, limit the end of the time of its caller and its route: a stream that begins
+	// before deadline may go on until limit. timer calls expireAtDeadline, and expired reports whether the attempts have been
+	// cancelled. All are guarded by gateway.mu.
+	deadline, limit time.Time
+	timer           *time.Timer
+	expired         bool
 	// cancel cancels the attempts of the request.
 	cancel context.CancelCauseFunc
 	// runs counts the attempts that may have run on a target, sends counts all attempts.
@@ -247,22 +251,23 @@
 		q.endWithError(kind)
 		return
 	}
-	timeout := maxTimeout
-	if q.Timeout > 0 {
-		timeout = min(timeout, q.Timeout)
-	}
+	longest := maxTimeout
 	if q.route.Timeout > 0 {
-		timeout = min(timeout, q.route.Timeout)
+		longest = min(longest, q.route.Timeout)
+	}
+	limit, timeout := longest, longest
+	if q.Timeout > 0 {
+		limit, timeout = min(limit, q.Timeout), min(timeout, dispatch.ResponseTimeout(q.Timeout))
 	}
-	if !q.gateway.takes(timeout) {
+	if !q.gateway.takes(limit) {
 		q.endWithError(errkind.Stopping)
 		return
 	}
-	q.deadline = q.arrivedAt.Add(timeout)
-	ctx, cancel := context.WithDeadline(q.Request.Context(), q.deadline)
-	defer cancel()
-	ctx, q.cancel = context.WithCancelCause(ctx)
-	defer q.cancel(nil)
+	ctx, cancel := context.WithCancelCause(q.Request.Context())
+	defer cancel(nil)
+	q.cancel = cancel
+	q.startTimer(timeout, limit)
+	defer q.timer.Stop()
 	q.gateway.addRequest(q)
 	defer q.gateway.removeRequest(q)
 	defer func() { q.gateway.bodies.give(q.bodyBytes.Load()) }()
@@ -337,13 +342,6 @@
 	return q.route.Priority
 }
 
-// timeLeft returns the time until the deadline.
-func (q *request) timeLeft() time.Duration {
-	q.gateway.mu.Lock()
-	defer q.gateway.mu.Unlock()
-	return time.Until(q.deadline)
-}
-
 // addRequest counts the request for the retry limit of its service and adds it to the requests in progress.
 func (g *Gateway) addRequest(q *request) {
 	g.mu.Lock()
@@ -427,9 +425,10 @@
 	}
 	fields := []any{
 		"request", q.ID, "result", result, "status", status, "route", routeName, "kind", kind,
-		"account", q.account.ID, "version", version, "ms", duration.Milliseconds(), "sends", q.sends, "runs", q.runs,
-		"limited", q.limited, "reroutes", stats.reroutes, "events", stats.events, "firstMs", stats.firstEvent.Milliseconds(),
-		"pauseMs", stats.longestPause.Milliseconds(), "targets", strings.Join(q.attemptedTargets, ";"), "reason", reason,
+		"account", q.account.ID, "version", version, "ms", duration.Milliseconds(), "limitMs", q.Timeout.Milliseconds(),
+		"sends", q.sends, "runs", q.runs, "limited", q.limited, "reroutes", stats.reroutes, "events", stats.events,
+		"firstMs", stats.firstEvent.Milliseconds(), "pauseMs", stats.longestPause.Milliseconds(),
+		"targets", strings.Join(q.attemptedTargets, ";"), "reason", reason,
 	}
 	if result == resultOK {
 		log.Routine("request ended", fields...)
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"github.com/hyssophoist/hyssophoist/core/dispatch"
 	"github.com/hyssophoist/hyssophoist/core/entity"
 	"github.com/hyssophoist/hyssophoist/core/errkind"
 	"github.com/hyssophoist/hyssophoist/core/fleet"
@@ -200,7 +201,8 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	attempt := &Attempt{
-		Call: q.Call, Target: *target, Account: q.account.ID, Timeout: timeout, LastEventID: q.LastEventID,
+		Call: q.Call, Target: *target, Account: q.account.ID, Timeout: dispatch.TargetTimeout(timeout),
+		LastEventID: q.LastEventID,
 	}
 	x, err := q.gateway.send(ctx, attempt, newConn, timeout)
 	if err == nil {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -39,6 +39,9 @@
 	maxRefusalTime = time.Second
 )
 
+// errTimedOut is returned if the first event of a stream arrives when the request has timed out.
+var errTimedOut = errors.New("first event arrived after the request had timed out")
+
 var errNoPath = errors.New("no engines with enough free KV cache cover all layers")
 
 // stream is a streaming request in progress.
@@ -94,7 +97,7 @@
 		q.endWithError(errkind.NoCapacity)
 		return
 	}
-	q.setWriteTimeout(q.timeLeft() + streamWriteTimeout)
+	q.setWriteTimeout(q.streamTimeLeft() + streamWriteTimeout)
 	s.size = dispatch.EstimateGeneration(q.service.Engine, q.PromptTokens, q.ExpectedTokens, q.MaxTokens)
 	defer s.releaseNext()
 	for q.hasTime(ctx) {
@@ -178,7 +181,7 @@
 	})
 	defer s.watchdog.stop()
 	sent := time.Now()
-	x, err := s.gateway.send(attemptCtx, s.newAttempt(path), false, s.timeLeft())
+	x, err := s.gateway.send(attemptCtx, s.newAttempt(path), false, s.streamTimeLeft())
 	if err != nil {
 		return s.handleInterruption(ctx, err)
 	}
@@ -193,12 +196,14 @@
 	if x.head.Status != http.StatusOK || !x.head.FromTarget || x.head.ContentEncoded {
 		return s.handleNonStream(x)
 	}
-	x.setTimeout(s.timeLeft())
+	x.setTimeout(s.streamTimeLeft())
 	err = s.forwardEvents(x)
+	if err == nil {
+		err = s.writeHead(x) // even a response without events needs the header field that shows that the target wrote it
+	}
 	if err == nil {
 		s.runs++
 		x.releaseConn()
-		s.writeHead(x) // even a response without events needs the header field that shows that the target wrote it
 		s.gateway.recordSuccess(path.Stages[0].Target.ID)
 		s.recordEnd(resultOK, "200")
 		return true, false
@@ -249,7 +254,7 @@
 
 func (s *stream) newAttempt(path *dispatch.Path) *Attempt {
 	attempt := &Attempt{
-		Call: s.Call, Target: path.Stages[0].Target, Account: s.account.ID, Timeout: s.timeLeft(), LastEventID: s.lastEventID,
+		Call: s.Call, Target: path.Stages[0].Target, Account: s.account.ID, Timeout: s.streamTimeLeft(), LastEventID: s.lastEventID,
 		Priority: min(9, max(0, s.priority())),
 	}
 	attempt.Path = hopsOf(path)
@@ -322,7 +327,9 @@
 	if !e.comment {
 		s.recordArrival()
 	}
-	s.writeHead(x)
+	if err := s.writeHead(x); err != nil {
+		return err
+	}
 	if err := s.writeEvent(e); err != nil {
 		return err
 	}
@@ -360,15 +367,19 @@
 	s.lastEventTime = now
 }
 
-// writeHead writes the head of the response unless an earlier call has.
-func (s *stream) writeHead(x *exchange) {
+// writeHead writes the head of the response unless an earlier call has, or the stream has timed out before its first event.
+func (s *stream) writeHead(x *exchange) error {
 	if s.headWritten.Load() {
-		return
+		return nil
+	}
+	if !s.begin() {
+		return errTimedOut
 	}
 	s.headWritten.Store(true)
 	copyHeader(s.writer.Header(), x.head.Header)
 	s.closeWhileStopping()
 	s.writer.WriteHeader(x.head.Status)
+	return nil
 }
 
 // handleInterruption handles an attempt that ended without a complete response.
--- a/internal/gateway/timeout.go
+++ b/internal/gateway/timeout.go
@@ -8,10 +8,66 @@
 	"github.com/hyssophoist/hyssophoist/core/errkind"
 )
 
-// minTimeLeft is the time below which a request counts as timed out. Its target has been given the same time, and may
-// end the attempt a moment before the gateway does.
+// minTimeLeft is the time below which a request counts as timed out. Its target has been given less time than the request
+// has, and may end the attempt a moment before the gateway does.
 const minTimeLeft = 10 * time.Millisecond
 
+// startTimer sets the time after which the request times out, and the limit for a stream that has begun by then. Both count
+// from the arrival of the request.
+func (q *request) startTimer(timeout, limit time.Duration) {
+	q.gateway.mu.Lock()
+	defer q.gateway.mu.Unlock()
+	q.deadline, q.limit = q.arrivedAt.Add(timeout), q.arrivedAt.Add(limit)
+	q.timer = time.AfterFunc(time.Until(q.deadline), func() {
+		q.gateway.mu.Lock()
+		defer q.gateway.mu.Unlock()
+		q.expireAtDeadline()
+	})
+}
+
+// expireAtDeadline cancels the attempts of the request if its deadline has passed, and otherwise sets its timer. The caller
+// holds gateway.mu.
+func (q *request) expireAtDeadline() {
+	if left := time.Until(q.deadline); left > 0 {
+		q.timer.Reset(left)
+		return
+	}
+	q.expire()
+}
+
+// expire cancels the attempts of the request because its time has passed. The caller holds gateway.mu.
+func (q *request) expire() {
+	q.expired = true
+	q.cancel(context.DeadlineExceeded)
+}
+
+// begin gives a stream whose first event has arrived the whole time of its caller. It returns false if the request has timed
+// out, so that its caller gets either a response that says so in time, or a stream that goes on.
+func (q *request) begin() bool {
+	q.gateway.mu.Lock()
+	defer q.gateway.mu.Unlock()
+	if q.expired || time.Until(q.deadline) <= 0 {
+		return false
+	}
+	q.deadline = q.limit
+	q.timer.Reset(time.Until(q.limit))
+	return true
+}
+
+// timeLeft returns the time until the deadline.
+func (q *request) timeLeft() time.Duration {
+	q.gateway.mu.Lock()
+	defer q.gateway.mu.Unlock()
+	return time.Until(q.deadline)
+}
+
+// streamTimeLeft returns the time until the limit of a stream that begins in time.
+func (q *request) streamTimeLeft() time.Duration {
+	q.gateway.mu.Lock()
+	defer q.gateway.mu.Unlock()
+	return time.Until(q.limit)
+}
+
 // hasTime reports whether another attempt may be made before the request times out. ctx is the context of the request's
 // attempts, which also ends if the caller disconnects or the instance stops.
 func (q *request) hasTime(ctx context.Context) bool {
