Bound how long a failed response is held

Seen by callers: a lookup got its 500 at the end of its time or not at all, though the instance had it for half a second: the other target was silent. The caller had no time left for a retry at another instance.

Cause: a 5xx of a target for a call that may be repeated is held while another attempt goes on, with no limit but the time of the request.

Change: dispatch.HeldResponse decides: a failed response is held for half of the time that was left when it was complete. That is up to 0.28 s of 600 ms and 1.5 s of 3 s, so that a sound target that is silent for a second still serves the latter. The attempt in progress then counts as one without a response in time, and its target is suspected as it is when another attempt begins beside it. The line of the end of a request has the time for which a response was held (heldMs).

Evidence: TestFailedResponseLeavesTimeForRetry failed before: "caller has 13.846786ms of 600ms left for a retry", "caller has 14.290384ms of 3s left for a retry", in both orders of the two targets and for silence before and in a response. TestFailedResponseWaitsForSilentTarget passed before and guards against responses that are forwarded too soon.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -217,6 +217,8 @@
 	retryReserved bool
 	// attemptedTargets names the target or path of each attempt, for the log.
 	attemptedTargets []string
+	// heldSince is when the first response of a target arrived that was held while another attempt went on; zero if none was.
+	heldSince time.Time
 	// bodyBytes is what the request has taken from the memory for response bodies.
 	bodyBytes atomic.Int64
 	// stats returns the statistics of a stream; nil for other calls.
@@ -419,6 +421,10 @@
 	if q.lastErr != nil {
 		reason = q.lastErr.Error()
 	}
+	held := time.Duration(0)
+	if !q.heldSince.IsZero() {
+		held = time.Since(q.heldSince)
+	}
 	var stats streamStats
 	if q.stats != nil {
 		stats = q.stats()
@@ -426,7 +432,7 @@
 	fields := []any{
 		"request", q.ID, "result", result, "status", status, "route", routeName, "kind", kind,
 		"account", q.account.ID, "version", version, "ms", duration.Milliseconds(), "limitMs", q.Timeout.Milliseconds(),
-		"sends", q.sends, "runs", q.runs, "limited", q.limited, "reroutes", stats.reroutes, "events", stats.events,
+		"heldMs", held.Milliseconds(), "sends", q.sends, "runs", q.runs, "limited", q.limited, "reroutes", stats.reroutes, "events", stats.events,
 		"firstMs", stats.firstEvent.Milliseconds(), "pauseMs", stats.longestPause.Milliseconds(),
 		"targets", strings.Join(q.attemptedTargets, ";"), "reason", reason,
 	}
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -44,8 +44,12 @@
 	secondAttempt *time.Timer
 	// newConn requests new connections for further attempts.
 	newConn bool
-	// fallback is the response to forward if no attempt has a better one.
-	fallback *bufferedResponse
+	// fallback is the response to forward if no attempt has a better one, failed the target that has sent it. It is forwarded
+	// at the end of holdTimer.
+	fallback         *bufferedResponse
+	failed           entity.TargetID
+	timeLeftWhenHeld time.Duration
+	holdTimer        *time.Timer
 	// refusal is the kind of the refusal if no target can have run the call.
 	refusal errkind.Kind
 }
@@ -68,11 +72,13 @@
 	attemptsCtx, cancel := context.WithCancel(ctx)
 	c := &bufferedCall{
 		request: q, attemptsCtx: attemptsCtx, tried: make(map[entity.TargetID]bool),
-		outcomes: make(chan attemptOutcome, maxSends), secondAttempt: time.NewTimer(maxTimeout), refusal: errkind.Overloaded,
+		outcomes: make(chan attemptOutcome, maxSends), secondAttempt: time.NewTimer(maxTimeout),
+		holdTimer: time.NewTimer(maxTimeout), refusal: errkind.Overloaded,
 	}
 	defer c.awaitAttempts()
 	defer cancel()
 	defer c.secondAttempt.Stop()
+	defer c.holdTimer.Stop()
 	response := c.run(ctx)
 	cancel()
 	if response != nil {
@@ -93,6 +99,15 @@
 		select {
 		case <-c.secondAttempt.C:
 			c.beginSecondAttempt(ctx)
+		case <-c.holdTimer.C:
+			if held := c.heldResponse(); !held.Forward() {
+				c.holdTimer.Reset(held.Wait())
+				continue
+			}
+			if c.latest != c.failed {
+				c.suspectLatest()
+			}
+			return c.fallback
 		case outcome := <-c.outcomes:
 			c.inProgress--
 			response, retry := c.handleOutcome(ctx, &outcome)
@@ -100,7 +115,7 @@
 				return response
 			}
 			if response != nil {
-				c.fallback = response
+				c.hold(response, outcome.target.ID)
 			}
 			if errors.Is(outcome.err, errStaleConn) { // the target may serve it on a new connection
 				c.newConn = true
@@ -114,6 +129,20 @@
 	return nil
 }
 
+// hold keeps the response of a target that has failed the call as the fallback. A further one is held for no longer than the
+// first one.
+func (c *bufferedCall) hold(response *bufferedResponse, from entity.TargetID) {
+	c.fallback, c.failed = response, from
+	if c.heldSince.IsZero() {
+		c.heldSince, c.timeLeftWhenHeld = time.Now(), c.timeLeft()
+		c.holdTimer.Reset(c.heldResponse().Wait())
+	}
+}
+
+func (c *bufferedCall) heldResponse() dispatch.HeldResponse {
+	return dispatch.HeldResponse{Left: c.timeLeftWhenHeld, Held: time.Since(c.heldSince)}
+}
+
 // awaitAttempts returns when all attempts have ended. Their context must have ended.
 func (c *bufferedCall) awaitAttempts() {
 	for ; c.inProgress > 0; c.inProgress-- {
