Leave time for another target when a connection does not open

Seen by callers: a request of 600 ms got a 504 or a 503 although another target could have served it.

Cause: a connection to a target could take 400 ms to open, two thirds of such a request. Nothing has been sent until then, so that postings go on to another target too, but with too little time.

Change: a connection gets 0.3 of the time left to open (dispatch.ConnectTimeout), and still 400 ms at most: 172 ms of 600.

--- a/core/dispatch/deadline.go
+++ b/core/dispatch/deadline.go
@@ -10,6 +10,9 @@
 	targetMargin = 10 * time.Millisecond
 	// maxMarginShare bounds each margin to a fraction of a short time.
 	maxMarginShare = 0.5
+	// connectShare is the fraction of the time left for opening a connection: nothing has been sent by then, so another target
+	// may still serve the request.
+	connectShare = 0.3
 )
 
 // ResponseTimeout returns the time, from its arrival, within which a request must be answered for the response to reach a
@@ -19,6 +22,9 @@
 // TargetTimeout returns the time that a target is given for a request that must be answered within left.
 func TargetTimeout(left time.Duration) time.Duration { return withoutMargin(left, targetMargin) }
 
+// ConnectTimeout returns the time to open a connection to a target for a request that must be answered within left.
+func ConnectTimeout(left time.Duration) time.Duration { return share(connectShare, left) }
+
 func withoutMargin(d, margin time.Duration) time.Duration {
 	return d - min(margin, share(maxMarginShare, d))
 }
--- a/core/dispatch/deadline_test.go
+++ b/core/dispatch/deadline_test.go
@@ -23,6 +23,15 @@
 	}
 }
 
+// TestConnectTimeout guards against connections to targets that take so long to open that another target has no time left.
+func TestConnectTimeout(t *testing.T) {
+	for _, left := range []time.Duration{50 * time.Millisecond, 575 * time.Millisecond, 3 * time.Second} {
+		if got := ConnectTimeout(left); got > left/3 || got < left/5 {
+			t.Errorf("%v left: connection may take %v to open", left, got)
+		}
+	}
+}
+
 // TestTargetTimeout guards against targets that may work until it is too late to forward their responses.
 func TestTargetTimeout(t *testing.T) {
 	for _, left := range []time.Duration{10 * time.Millisecond, 20 * time.Millisecond, 500 * time.Millisecond, 20 * time.Second} {
--- a/internal/connpool/connpool.go
+++ b/internal/connpool/connpool.go
@@ -18,7 +18,7 @@
 )
 
 const (
-	// DialTimeout bounds the time to open a connection. Targets are at most a few milliseconds away.
+	// DialTimeout bounds the time to open a connection, also if Get allows more. Targets are at most a few milliseconds away.
 	DialTimeout = 400 * time.Millisecond
 	// maxIdleTime bounds how long a connection stays idle in the pool, also if the target keeps it open for longer or
 	// does not say for how long.
@@ -29,7 +29,7 @@
 	maxIdlePerTarget = 16
 	// ackTimeout is the time after which a connection fails if sent data is not acknowledged (TCP_USER_TIMEOUT).
 	ackTimeout = 3 * time.Second
-	// lateTimeout is how much longer than DialTimeout a failed dial takes if this process was paused meanwhile.
+	// lateTimeout is how much longer than its timeout a failed dial takes if this process was paused meanwhile.
 	lateTimeout    = 100 * time.Millisecond
 	readBufferSize = 4 << 10
 )
@@ -88,7 +88,7 @@
 func New() *Pool {
 	return &Pool{
 		idle: make(map[string][]*Conn),
-		dialer: net.Dialer{Timeout: DialTimeout, Control: setAckTimeout, KeepAliveConfig: net.KeepAliveConfig{
+		dialer: net.Dialer{Control: setAckTimeout, KeepAliveConfig: net.KeepAliveConfig{
 			Enable: true, Idle: 2 * time.Second, Interval: time.Second, Count: 2,
 		}},
 	}
@@ -107,9 +107,9 @@
 	return err
 }
 
-// Get returns a connection to address: an idle one if there is one and forceNew is false, otherwise a new one. An error
-// means that no connection could be opened, so nothing was sent.
-func (p *Pool) Get(ctx context.Context, address string, forceNew bool) (*Conn, error) {
+// Get returns a connection to address: an idle one if there is one and forceNew is false, otherwise a new one, which must be
+// open within timeout. An error means that no connection could be opened, so nothing was sent.
+func (p *Pool) Get(ctx context.Context, address string, forceNew bool, timeout time.Duration) (*Conn, error) {
 	for !forceNew {
 		conn := p.popIdle(address)
 		if conn == nil {
@@ -121,7 +121,7 @@
 		}
 		conn.Close()
 	}
-	opened, err := p.dial(ctx, address)
+	opened, err := p.dial(ctx, address, min(timeout, DialTimeout))
 	if err != nil {
 		return nil, err
 	}
@@ -136,12 +136,14 @@
 
 // dial opens a connection. A timeout that is noticed late comes from a pause of this process, not from the target, so the
 // dial is repeated once.
-func (p *Pool) dial(ctx context.Context, address string) (net.Conn, error) {
+func (p *Pool) dial(ctx context.Context, address string, timeout time.Duration) (net.Conn, error) {
+	dialer := p.dialer
+	dialer.Timeout = timeout
 	begun := time.Now()
-	conn, err := p.dialer.DialContext(ctx, "tcp", address)
-	var timeout net.Error
-	if errors.As(err, &timeout) && timeout.Timeout() && ctx.Err() == nil && time.Since(begun) > DialTimeout+lateTimeout {
-		return p.dialer.DialContext(ctx, "tcp", address)
+	conn, err := dialer.DialContext(ctx, "tcp", address)
+	var netErr net.Error
+	if errors.As(err, &netErr) && netErr.Timeout() && ctx.Err() == nil && time.Since(begun) > timeout+lateTimeout {
+		return dialer.DialContext(ctx, "tcp", address)
 	}
 	return conn, err
 }
--- a/internal/connpool/connpool_test.go
+++ b/internal/connpool/connpool_test.go
@@ -31,7 +31,7 @@
 
 func get(t *testing.T, p *Pool, address string, forceNew bool) *Conn {
 	t.Helper()
-	conn, err := p.Get(context.Background(), address, forceNew)
+	conn, err := p.Get(context.Background(), address, forceNew, DialTimeout)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"time"
 
+	"github.com/hyssophoist/hyssophoist/core/dispatch"
 	"github.com/hyssophoist/hyssophoist/core/fleet"
 	"github.com/hyssophoist/hyssophoist/internal/boottime"
 	"github.com/hyssophoist/hyssophoist/internal/connpool"
@@ -50,7 +51,7 @@
 // means that the target has not received the request.
 func (g *Gateway) send(ctx context.Context, attempt *Attempt, newConn bool, headTimeout time.Duration) (*exchange, error) {
 	begunAt := time.Now()
-	conn, err := g.options.Pool.Get(ctx, attempt.Target.Address, newConn)
+	conn, err := g.options.Pool.Get(ctx, attempt.Target.Address, newConn, dispatch.ConnectTimeout(headTimeout))
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", errNotSent, err)
 	}
