Move the timers of requests by the time of a suspension

Seen by callers: a request in progress while the machine was suspended got its 504 too late, by up to the length of the suspension.

Cause: HandleSuspension moved the deadline of each request, but not the timer that cancels its attempts, so that only requests whose deadline had passed already were answered.

Change: the timer moves with the deadline.

Evidence: TestSuspensionMovesTimeout, before: "not cancelled 9.8s after its deadline", for a stream that has begun and one that has not.

Result: measured in this test only.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -155,16 +155,14 @@
 	g.peakInstances = max(g.peakInstances, instances.All)
 }
 
-// HandleSuspension moves the deadlines of all requests earlier by a time in which the machine was suspended, which timers
-// do not count, and cancels the requests whose deadline has passed.
+// HandleSuspension moves the deadlines and the timers of all requests earlier by a time in which the machine was suspended,
+// which timers do not count, and cancels the requests whose deadline has passed.
 func (g *Gateway) HandleSuspension(suspended time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for q := range g.requests {
 		q.deadline, q.limit = q.deadline.Add(-suspended), q.limit.Add(-suspended)
-		if time.Until(q.deadline) <= 0 {
-			q.expire()
-		}
+		q.expireAtDeadline()
 	}
 }
 
--- a/internal/gateway/timeout_test.go
+++ b/internal/gateway/timeout_test.go
@@ -60,3 +60,21 @@
 		t.Error("stream has begun after its end")
 	}
 }
+
+// TestSuspensionMovesTimeout guards against requests that are answered too late, by the time in which the machine was
+// suspended.
+func TestSuspensionMovesTimeout(t *testing.T) {
+	const timeout, left = 20 * time.Second, 200 * time.Millisecond
+	for _, begun := range []bool{false, true} {
+		q, ctx := newTimedRequest(t, timeout, timeout)
+		if begun && !q.begin() {
+			t.Fatal("stream has not begun")
+		}
+		q.gateway.HandleSuspension(timeout - left)
+		select {
+		case <-ctx.Done():
+		case <-time.After(timeout / 2):
+			t.Errorf("begun %v: not cancelled %v after its deadline", begun, timeout/2-left)
+		}
+	}
+}
