--- a/internal/edge/connecttime_test.go
+++ b/internal/edge/connecttime_test.go
@@ -71,6 +71,29 @@
 	}
 }
 
+// TestHangingConnectsAreRefusedInTime guards against requests that have not run and get their refusal too late, because the
+// connections to all targets take long to open.
+func TestHangingConnectsAreRefusedInTime(t *testing.T) {
+	t.Parallel()
+	const limit = 600 * time.Millisecond
+	for _, path := range []string{"/post/1", "/read/1"} {
+		t.Run(path, func(t *testing.T) {
+			t.Parallel()
+			d := newDeployment(t)
+			daemon := d.addDaemonAndAwaitPlacement()
+			for _, target := range d.plain {
+				target.Advertise(hangingAddress(t))
+				d.register(target, "ready")
+				d.waitUntil("the daemon knows the address", func() bool { return daemon.plainAddress(target.ID) == target.Address() })
+			}
+			status, took := d.answerTime(daemon, path, "refused", limit)
+			if status != http.StatusServiceUnavailable || took > limit {
+				t.Errorf("status %d after %v, want 503 within %v", status, took, limit)
+			}
+		})
+	}
+}
+
 // plainAddress returns the address of a target according to the daemon.
 func (d *Daemon) plainAddress(id string) (address string) {
 	d.gateway.WithFleet(func(f *fleet.Fleet) {
