--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"time"
 
+	"github.com/hyssophoist/hyssophoist/core/dispatch"
 	"github.com/hyssophoist/hyssophoist/core/fleet"
 	"github.com/hyssophoist/hyssophoist/internal/boottime"
 	"github.com/hyssophoist/hyssophoist/internal/connpool"
@@ -49,10 +50,14 @@
 // most headTimeout. newConn requests a new connection instead of one from the pool. An error that wraps errNotSent
 // means that the target has not received the request.
 func (g *Gateway) send(ctx context.Context, attempt *Attempt, newConn bool, headTimeout time.Duration) (*exchange, error) {
-	conn, err := g.options.Pool.Get(ctx, attempt.Target.Address, newConn)
+	begunAt := time.Now()
+	conn, err := g.options.Pool.Get(ctx, attempt.Target.Address, newConn, dispatch.ConnectTimeout(headTimeout))
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", errNotSent, err)
 	}
+	connectTime := time.Since(begunAt)
+	attempt.Timeout -= connectTime
+	headTimeout -= connectTime
 	x := &exchange{gateway: g, target: attempt.Target, conn: conn}
 	x.stopCloseOnCancel = context.AfterFunc(ctx, func() { conn.Close() })
 	request := g.options.Codec.EncodeAttempt(attempt)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -156,16 +156,14 @@
 	g.peakInstances = max(g.peakInstances, instances.All)
 }
 
-// HandleSuspension moves the deadlines of all requests earlier by a time in which the machine was suspended, which timers
-// do not count, and cancels the requests whose deadline has passed.
+// HandleSuspension moves the deadlines and the timers of all requests earlier by a time in which the machine was suspended,
+// which timers do not count, and cancels the requests whose deadline has passed.
 func (g *Gateway) HandleSuspension(suspended time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for q := range g.requests {
-		q.deadline = q.deadline.Add(-suspended)
-		if time.Until(q.deadline) <= 0 {
-			q.cancel(context.DeadlineExceeded)
-		}
+		q.deadline, q.limit = q.deadline.Add(-suspended), q.limit.Add(-suspended)
+		q.expireAtDeadline()
 	}
 }
 
@@ -178,7 +176,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for q := range g.requests {
-		q.cancel(context.DeadlineExceeded)
+		q.expire()
 	}
 }
 
@@ -198,8 +196,12 @@
 	account       routing.Account
 	service       *routing.Service
 	arrivedAt     time.Time
-	// deadline is when the request times out; it is guarded by gateway.mu.
-	deadline time.Time
+	// deadline is when the request times out, limit the end of the time of its caller and its route: a stream that begins
+	// before deadline may go on until limit. timer calls expireAtDeadline, and expired reports whether the attempts have been
+	// cancelled. All are guarded by gateway.mu.
+	deadline, limit time.Time
+	timer           *time.Timer
+	expired         bool
 	// cancel cancels the attempts of the request.
 	cancel context.CancelCauseFunc
 	// runs counts the attempts that may have run on a target, sends counts all attempts.
@@ -216,6 +218,8 @@
 	attemptedTargets []string
 	// body is the memory that the request has taken for its own body.
 	body bodyReservation
+	// heldSince is when the first response of a target arrived that was held while another attempt went on; zero if none was.
+	heldSince time.Time
 	// bodyBytes is what the request has taken from the memory for response bodies.
 	bodyBytes atomic.Int64
 	// stats returns the statistics of a stream; nil for other calls.
@@ -251,22 +255,23 @@
 		q.endWithError(kind)
 		return
 	}
-	timeout := maxTimeout
-	if q.Timeout > 0 {
-		timeout = min(timeout, q.Timeout)
-	}
+	longest := maxTimeout
 	if q.route.Timeout > 0 {
-		timeout = min(timeout, q.route.Timeout)
+		longest = min(longest, q.route.Timeout)
+	}
+	limit, timeout := longest, longest
+	if q.Timeout > 0 {
+		limit, timeout = min(limit, q.Timeout), min(timeout, dispatch.ResponseTimeout(q.Timeout))
 	}
-	if !q.gateway.takes(timeout) {
+	if !q.gateway.takes(limit) {
 		q.endWithError(errkind.Stopping)
 		return
 	}
-	q.deadline = q.arrivedAt.Add(timeout)
-	ctx, cancel := context.WithDeadline(q.Request.Context(), q.deadline)
-	defer cancel()
-	ctx, q.cancel = context.WithCancelCause(ctx)
-	defer q.cancel(nil)
+	ctx, cancel := context.WithCancelCause(q.Request.Context())
+	defer cancel(nil)
+	q.cancel = cancel
+	q.startTimer(timeout, limit)
+	defer q.timer.Stop()
 	q.gateway.addRequest(q)
 	defer q.gateway.removeRequest(q)
 	defer func() { q.gateway.bodies.give(q.bodyBytes.Load()) }()
@@ -336,13 +341,6 @@
 	return q.route.Priority
 }
 
-// timeLeft returns the time until the deadline.
-func (q *request) timeLeft() time.Duration {
-	q.gateway.mu.Lock()
-	defer q.gateway.mu.Unlock()
-	return time.Until(q.deadline)
-}
-
 // addRequest counts the request for the retry limit of its service and adds it to the requests in progress.
 func (g *Gateway) addRequest(q *request) {
 	g.mu.Lock()
@@ -420,15 +418,20 @@
 	if q.lastErr != nil {
 		reason = q.lastErr.Error()
 	}
+	held := time.Duration(0)
+	if !q.heldSince.IsZero() {
+		held = time.Since(q.heldSince)
+	}
 	var stats streamStats
 	if q.stats != nil {
 		stats = q.stats()
 	}
 	fields := []any{
 		"request", q.ID, "result", result, "status", status, "route", routeName, "kind", kind,
-		"account", q.account.ID, "version", version, "ms", duration.Milliseconds(), "sends", q.sends, "runs", q.runs,
-		"limited", q.limited, "reroutes", stats.reroutes, "events", stats.events, "firstMs", stats.firstEvent.Milliseconds(),
-		"pauseMs", stats.longestPause.Milliseconds(), "targets", strings.Join(q.attemptedTargets, ";"), "reason", reason,
+		"account", q.account.ID, "version", version, "ms", duration.Milliseconds(), "limitMs", q.Timeout.Milliseconds(),
+		"heldMs", held.Milliseconds(), "sends", q.sends, "runs", q.runs, "limited", q.limited, "reroutes", stats.reroutes, "events", stats.events,
+		"firstMs", stats.firstEvent.Milliseconds(), "pauseMs", stats.longestPause.Milliseconds(),
+		"targets", strings.Join(q.attemptedTargets, ";"), "reason", reason,
 	}
 	if result == resultOK {
 		log.Routine("request ended", fields...)
