Do not count targets that have ended towards maxAttempts

Callers saw begun streams closed in the middle, and repeatable calls answered 502, although sound targets with room were left. Every attempt that may have run used up maxAttempts, also one on a target that had ended, and one on the same target again.

The limit now counts the distinct targets (first engines) on which a request may have run, without the processes that are known to have ended: the address refuses connections, a report comes from another process, or a later start is listed under the id. A reset, an EOF, a silence or an entry that is gone does not show it: a sound engine resets a stream when a later engine of its path is lost, and targets without an entry go on for the drain bound. If the limit is reached, the targets that have not responded are asked at once, an engine for its report (300 ms at most), a target of a plain service for a connection (100 ms). `runs` still counts all, so refusals stay honest, and a call that is not repeatable still runs once. Attempts before the first event remain bounded by maxSends and the quarantine.

The stand-in's Close stops listening before it resets connections, as a process that ends does.

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -129,13 +129,15 @@
 	restoredAt               time.Time
 	// leaving holds the processes that have said in a response that they leave.
 	leaving map[process]*leavingProcess
+	// ended holds the processes that are known to have ended, with the time at which that was last seen.
+	ended map[process]time.Time
 }
 
 // New returns an empty fleet.
 func New() *Fleet {
 	return &Fleet{
 		targets: table.New[entity.TargetID, State](), departed: make(departures), departedBefore: make(departures),
-		leaving: make(map[process]*leavingProcess),
+		leaving: make(map[process]*leavingProcess), ended: make(map[process]time.Time),
 	}
 }
 
@@ -185,6 +187,7 @@
 	f.departed.prune(now)
 	f.departedBefore.prune(now)
 	f.pruneLeaving(now)
+	f.pruneEnded(now)
 }
 
 // RecordFailure records that a target failed to serve a call and returns the time until which it is suspected.
@@ -263,6 +266,7 @@
 		return false
 	}
 	state.reachability = reachability{answeredAt: now}
+	delete(f.ended, process{id: id, born: state.Born})
 	if state.suspectedSilent {
 		state.consecutiveFailures, state.suspectUntil, state.suspectedSilent = 0, time.Time{}, false
 	}
--- a/internal/emulator/edgeplatform/target.go
+++ b/internal/emulator/edgeplatform/target.go
@@ -111,6 +111,7 @@
 
 // Close stops the target as a crash would: open connections are reset and new ones refused.
 func (t *Target) Close() {
+	t.server.Listener.Close()
 	t.server.CloseClientConnections()
 	t.server.Close()
 }
--- /dev/null
+++ b/internal/gateway/ended.go
@@ -0,0 +1,96 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/hyssophoist/hyssophoist/core/fleet"
+	"github.com/hyssophoist/hyssophoist/internal/boottime"
+)
+
+// connectCheckTimeout bounds the wait for a connection that shows whether a target of a plain service is still there. An
+// address without a process refuses it at once.
+const connectCheckTimeout = 100 * time.Millisecond
+
+// recordRun records that the request may have run on a target, and whether it has responded in full.
+func (q *request) recordRun(target fleet.Target, responded bool) {
+	q.runs++
+	q.gateway.mu.Lock()
+	defer q.gateway.mu.Unlock()
+	q.ran.Add(target, responded)
+}
+
+// countedTargets returns the number of targets that count towards the route's maximum.
+func (q *request) countedTargets() int {
+	q.gateway.mu.Lock()
+	defer q.gateway.mu.Unlock()
+	return q.ran.Counted(q.gateway.dispatcher.Fleet)
+}
+
+// hasTargetLeft reports whether the request may run on one more target. If too many count, it first checks whether those that
+// have not responded have ended.
+func (q *request) hasTargetLeft(ctx context.Context) bool {
+	if q.countedTargets() < q.route.MaxAttempts {
+		return true
+	}
+	q.gateway.mu.Lock()
+	unconfirmed := q.ran.Unconfirmed(q.gateway.dispatcher.Fleet)
+	q.gateway.mu.Unlock()
+	q.gateway.checkEnded(ctx, unconfirmed, time.Now())
+	return q.countedTargets() < q.route.MaxAttempts
+}
+
+// checkEnded checks concurrently whether the processes of targets have ended, and records what it finds. A report of an engine
+// that was read after the given time is not read again.
+func (g *Gateway) checkEnded(ctx context.Context, targets []fleet.Target, since time.Time) {
+	var wg sync.WaitGroup
+	for _, target := range targets {
+		wg.Go(func() {
+			err := g.contact(ctx, target, since)
+			log.Debugf("checked whether target %s, born %d, has ended: %v", target.ID, target.Born, err)
+		})
+	}
+	wg.Wait()
+}
+
+// contact reads the report of an engine, or connects to a target of a plain service.
+func (g *Gateway) contact(ctx context.Context, target fleet.Target, since time.Time) error {
+	if target.Card != "" {
+		_, err := g.inspector.inspectSince(ctx, target, since)
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, connectCheckTimeout)
+	defer cancel()
+	conn, err := g.options.Pool.Get(ctx, target.Address, true)
+	if err != nil {
+		g.recordIfRefused(target, err)
+		return err
+	}
+	g.options.Pool.Put(conn, 0)
+	return nil
+}
+
+// recordIfRefused records that a target has ended if its address refused a connection.
+func (g *Gateway) recordIfRefused(target fleet.Target, err error) {
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		g.recordEnded(target, err.Error())
+	}
+}
+
+// recordEnded records that the process of a target has ended.
+func (g *Gateway) recordEnded(target fleet.Target, reason string) {
+	g.mu.Lock()
+	changed := g.dispatcher.Fleet.RecordEnded(boottime.Now(), target.ID, target.Born)
+	g.mu.Unlock()
+	if changed {
+		log.Event("target has ended", "target", target.ID, "born", target.Born, "address", target.Address, "reason", reason)
+	}
+}
+
+// isOfOther reports whether the report is that of another process of the engine.
+func (r reportResult) isOfOther(target fleet.Target) bool {
+	return r.err == nil && r.report.Born != 0 && r.report.Born != target.Born
+}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -51,6 +51,7 @@
 func (g *Gateway) send(ctx context.Context, attempt *Attempt, newConn bool, headTimeout time.Duration) (*exchange, error) {
 	conn, err := g.options.Pool.Get(ctx, attempt.Target.Address, newConn)
 	if err != nil {
+		g.recordIfRefused(attempt.Target, err)
 		return nil, fmt.Errorf("%w: %w", errNotSent, err)
 	}
 	x := &exchange{gateway: g, target: attempt.Target, conn: conn}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -203,6 +203,8 @@
 	cancel context.CancelCauseFunc
 	// runs counts the attempts that may have run on a target, sends counts all attempts.
 	runs, sends int
+	// ran holds the targets on which the request may have run. Guarded by gateway.mu.
+	ran dispatch.Runs
 	// lastErr is the error of the last failed attempt.
 	lastErr error
 	// lastKind is the error kind of the last failed attempt that left no response to forward.
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -126,7 +126,7 @@
 	if c.sends >= maxSends || c.inProgress == 0 {
 		return c.sends < maxSends
 	}
-	return c.runs+c.inProgress < c.route.MaxAttempts && c.hasUntriedTarget()
+	return c.countedTargets()+c.inProgress < c.route.MaxAttempts && c.hasUntriedTarget()
 }
 
 // beginSecondAttempt begins an attempt on another target beside one that takes long, if another target and a retry are
@@ -236,9 +236,9 @@
 		q.recordAttemptFailure(id, errkind.NoCapacity, o.err)
 		return nil, true
 	case o.err != nil:
-		q.runs++
+		q.recordRun(*o.target, false)
 		q.recordAttemptFailure(id, q.unknownOutcomeKind(ctx, o.err), o.err)
-		return nil, q.mayRunAgain()
+		return nil, q.mayRunAgain(ctx)
 	case o.head.NotRun && o.head.RetryAfter > 0: // not a failure: the target gets no requests while it wants none
 		q.lastErr, q.lastKind = &fleet.BackoffError{For: o.head.RetryAfter}, errkind.Overloaded
 		return nil, true
@@ -246,23 +246,23 @@
 		q.recordAttemptFailure(id, errkind.Overloaded, errors.New("target did not run the request"))
 		return nil, true
 	}
-	q.runs++
+	q.recordRun(*o.target, true)
 	if !o.served() {
 		q.recordAttemptFailure(id, errkind.TargetFailed,
 			errors.New("response was not written by the target or was re-encoded"))
-		return nil, q.mayRunAgain()
+		return nil, q.mayRunAgain(ctx)
 	}
 	if o.head.Status >= http.StatusInternalServerError {
 		q.lastErr = errors.New("target responded with status " + strconv.Itoa(o.head.Status))
-		return &o.bufferedResponse, q.mayRunAgain()
+		return &o.bufferedResponse, q.mayRunAgain(ctx)
 	}
 	q.gateway.recordSuccess(id)
 	return &o.bufferedResponse, false
 }
 
 // mayRunAgain reports whether another attempt may run the call.
-func (q *request) mayRunAgain() bool {
-	return q.route.Repeatable() && q.runs < q.route.MaxAttempts && q.timeLeft() > 0
+func (q *request) mayRunAgain(ctx context.Context) bool {
+	return q.route.Repeatable() && q.timeLeft() > 0 && q.hasTargetLeft(ctx)
 }
 
 // recordAttemptFailure records a failed attempt. It does not count as a failure of the target if the caller has
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -56,8 +56,6 @@
 	// reroutes counts the reroutes of the stream; rerouteMu is held during each.
 	reroutes  atomic.Int32
 	rerouteMu sync.Mutex
-	// resumable reports whether another attempt may follow the one in progress.
-	resumable bool
 	// headWritten reports whether the head of the response has been sent to the caller.
 	headWritten atomic.Bool
 	// lastEventID is the id of the last event forwarded to the caller, events is the number of forwarded events.
@@ -164,14 +162,13 @@
 	}
 	s.sends++
 	s.attemptedTargets = append(s.attemptedTargets, formatPath(path))
-	s.resumable = s.route.Repeatable() && s.runs+1 < s.route.MaxAttempts
 	attemptCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	s.register(attemptCtx, cancel)
-	resumable, sends := s.resumable, s.sends
+	sends := s.sends
 	s.watchdog = s.gateway.inspector.watch(attemptCtx, watchedAttempt{
 		requestID: s.ID, targets: s.targets, targetsWithoutProgress: s.targetsWithoutProgress,
-		stallTimeout: s.stallTimeout, replaceable: func() bool { return resumable && s.replaceable(sends) },
+		stallTimeout: s.stallTimeout, replaceable: func() bool { return s.isResumable() && s.replaceable(sends) },
 		begun:       s.headWritten.Load,
 		reserveNext: func(faulty []fleet.Target, usable bool) bool { return s.reserveNext(attemptCtx, faulty, usable) },
 		reroute:     s.reroute, cancel: cancel,
@@ -191,12 +188,12 @@
 		return false, true
 	}
 	if x.head.Status != http.StatusOK || !x.head.FromTarget || x.head.ContentEncoded {
-		return s.handleNonStream(x)
+		return s.handleNonStream(ctx, x)
 	}
 	x.setTimeout(s.timeLeft())
 	err = s.forwardEvents(x)
 	if err == nil {
-		s.runs++
+		s.recordRun(path.Stages[0].Target, true)
 		x.releaseConn()
 		s.writeHead(x) // even a response without events needs the header field that shows that the target wrote it
 		s.gateway.recordSuccess(path.Stages[0].Target.ID)
@@ -296,6 +293,22 @@
 	return s.eventForwarded.Load() || !s.gateway.quarantine.Suspected(s.PromptParts)
 }
 
+// isResumable is resumable for callers that do not hold gateway.mu.
+func (s *stream) isResumable() bool {
+	s.gateway.mu.Lock()
+	defer s.gateway.mu.Unlock()
+	return s.resumable()
+}
+
+// resumable reports whether the route and the limit on targets allow another attempt after the one in progress. The caller
+// holds gateway.mu.
+func (s *stream) resumable() bool {
+	if s.path == nil || !s.route.Repeatable() {
+		return false
+	}
+	return s.ran.CountedWith(s.gateway.dispatcher.Fleet, s.path.Stages[0].Target) < s.route.MaxAttempts
+}
+
 // forwardEvents forwards events to the caller until the stream ends. Only complete events are forwarded.
 func (s *stream) forwardEvents(x *exchange) error {
 	events := eventReader{in: bufio.NewReaderSize(x.response.Body, eventBufferBytes)}
@@ -389,7 +402,7 @@
 		s.recordFault(s.currentPath().Stages[0].Target.Address, err.Error())
 		return false, true
 	}
-	s.runs++
+	s.recordRun(s.currentPath().Stages[0].Target, false)
 	s.lastKind = s.unknownOutcomeKind(ctx, err)
 	s.recordCrash(ctx, err)
 	faulty := s.watchdog.stop()
@@ -400,11 +413,12 @@
 	if len(faulty) == 0 {
 		s.recordFault("", err.Error())
 	}
+	resume := s.mayRunAgain(ctx)
 	log.Event("stream interrupted", "request", s.ID, "events", s.events, "lastEvent", s.lastEventID,
 		"idleMs", s.idle().Milliseconds(), "cancelled", s.watchdog.hasCancelled(),
-		"path", formatPath(s.currentPath()), "reason", s.lastErr.Error(), "resume", s.mayRunAgain(),
+		"path", formatPath(s.currentPath()), "reason", s.lastErr.Error(), "resume", resume,
 		"parts", strings.Join(s.PromptParts, ","))
-	return false, s.mayRunAgain()
+	return false, resume
 }
 
 // handleRefusal records which engine of the path refused the request; elapsed is the time until the response. If the
@@ -454,15 +468,15 @@
 
 // handleNonStream handles a response whose body cannot be forwarded as an event stream: its status is not 200, it was
 // not written by the target itself, or it has a content coding.
-func (s *stream) handleNonStream(x *exchange) (done, retry bool) {
-	s.runs++
+func (s *stream) handleNonStream(ctx context.Context, x *exchange) (done, retry bool) {
 	body, err := x.readBody(s.request, s.timeLeft())
+	s.recordRun(s.currentPath().Stages[0].Target, err == nil)
 	if err != nil || !x.head.FromTarget || x.head.ContentEncoded || s.headWritten.Load() {
 		s.lastErr, s.lastKind = fmt.Errorf("response with status %d cannot be forwarded", x.head.Status), errkind.TargetFailed
 		s.recordFault("", s.lastErr.Error())
-		return false, s.mayRunAgain()
+		return false, s.mayRunAgain(ctx)
 	}
-	if x.head.Status >= http.StatusInternalServerError && s.mayRunAgain() {
+	if x.head.Status >= http.StatusInternalServerError && s.mayRunAgain(ctx) {
 		s.lastErr, s.lastKind = errors.New("target responded with status "+strconv.Itoa(x.head.Status)), errkind.TargetFailed
 		return false, true
 	}
--- a/internal/gateway/watchdog.go
+++ b/internal/gateway/watchdog.go
@@ -314,7 +314,7 @@
 // connections, or another process has taken its place. An engine that does not answer may only be silent.
 func (r reportResult) hasEnded(target fleet.Target) bool {
 	if r.err == nil {
-		return r.report.Born != 0 && r.report.Born != target.Born
+		return r.isOfOther(target)
 	}
 	// A response that is cut short may also be a spoiled one.
 	cut := errors.Is(r.err, io.ErrUnexpectedEOF)
