Continue begun streams on their engines once maxAttempts is used up

A caller's connection was closed in the middle of a stream when two sound engines had broken it off, for instance because a later engine of both paths ran out of memory, although the retry limit and the caller's time allowed more. maxAttempts bounds the servers, not the runs: a further run on an engine that has run the stream adds none.

A stream that has begun and on whose count no other engine fits now gets paths that begin with one of the engines that already ran it; later stages are free. This holds for the path after an interruption and for the one that a stalled attempt reserves; the engine at fault is left out as before. Attempts stay bounded by the retry limit and maxBegunSends. Streams before their first event are not included: their caller gets an answer at once and can come back as a new request, which costs no retry.

Test streams in keptattempt_test.go get a resumable route with two attempts; with no attempts allowed they had no valid route.

Before: TestBegunStreamGoesOnAtItsEngines fails in both cases with `timed out after 10s waiting until the request runs`: a third run never comes.

--- a/core/dispatch/backoff.go
+++ b/core/dispatch/backoff.go
@@ -7,13 +7,17 @@
 	"github.com/hyssophoist/hyssophoist/core/routing"
 )
 
-// leaveOutBackedOff takes the first layer from the nodes whose engines get no attempts because they asked for time, so
-// that they can only be later stages, and reports whether there are any.
-func (d *Dispatcher) leaveOutBackedOff(now time.Time) (found bool) {
+// restrictFirstEngines takes the first layer from the nodes whose engines get no attempts because they asked for time, or
+// are not in firsts unless that is nil, so that they can only be later stages. It reports whether there are any of the former.
+func (d *Dispatcher) restrictFirstEngines(now time.Time, firsts *Runs) (backedOff bool) {
 	kept := d.nodes[:0]
 	for _, node := range d.nodes {
-		if node.Layers.From == 0 && !d.states[node.Index].AcceptsAttempt(now) {
-			found = true
+		state := d.states[node.Index]
+		if node.Layers.From == 0 && firsts != nil && !firsts.Includes(state.Target) {
+			node.Layers.From = 1
+		}
+		if node.Layers.From == 0 && !state.AcceptsAttempt(now) {
+			backedOff = true
 			node.Layers.From = 1
 		}
 		if node.Layers.Len() > 0 {
@@ -21,7 +25,7 @@
 		}
 	}
 	d.nodes = kept
-	return found
+	return backedOff
 }
 
 // beginAttempt records the attempt with the given reservation; saved reports whether it was kept from another target.
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -88,20 +88,26 @@
 // response are only used as a last resort.
 func (d *Dispatcher) ChoosePath(now time.Time, service *routing.Service, size GenerationSize,
 	avoid map[entity.TargetID]bool) *Path {
-	stages, backedOff := d.findStages(now, service, size, avoid)
+	return d.ChoosePathFrom(now, service, size, avoid, nil)
+}
+
+// ChoosePathFrom is ChoosePath with a path that begins with one of the engines in firsts, unless that is nil.
+func (d *Dispatcher) ChoosePathFrom(now time.Time, service *routing.Service, size GenerationSize,
+	avoid map[entity.TargetID]bool, firsts *Runs) *Path {
+	stages, backedOff := d.findStages(now, service, size, avoid, firsts)
 	if stages == nil {
 		return nil
 	}
 	return d.reserveStages(stages, size, backedOff)
 }
 
-// ChooseNextPath is like ChoosePath for the generation on the path current, as if it had left that path. usable excludes
+// ChooseNextPath is like ChoosePathFrom for the generation on the path current, as if it had left that path. usable excludes
 // paths with suspected engines.
 func (d *Dispatcher) ChooseNextPath(now time.Time, service *routing.Service, current *Path,
-	avoid map[entity.TargetID]bool, usable bool) *Path {
+	avoid map[entity.TargetID]bool, firsts *Runs, usable bool) *Path {
 	d.addLoad(current, -1)
 	defer d.addLoad(current, 1)
-	stages, backedOff := d.findStages(now, service, current.size, avoid)
+	stages, backedOff := d.findStages(now, service, current.size, avoid, firsts)
 	if stages == nil || usable && d.anySuspected(now, stages) {
 		return nil
 	}
@@ -111,15 +117,15 @@
 // findStages returns the stages of the cheapest path for a generation, or nil. backedOff reports whether engines were left
 // out as first ones because they asked for time.
 func (d *Dispatcher) findStages(now time.Time, service *routing.Service, size GenerationSize,
-	avoid map[entity.TargetID]bool) (stages []Stage, backedOff bool) {
+	avoid map[entity.TargetID]bool, firsts *Runs) (stages []Stage, backedOff bool) {
 	layers := entity.LayerRange{To: service.Engine.Layers}
 	costs := d.transferCosts(service.Engine, size)
 	leaving := d.collectNodes(now, service, size, avoid, false)
-	backedOff = d.leaveOutBackedOff(now)
+	backedOff = d.restrictFirstEngines(now, firsts)
 	stages = d.chooseStages(layers, d.nodes, costs)
 	if stages == nil && leaving > 0 {
 		d.collectNodes(now, service, size, avoid, true)
-		backedOff = d.leaveOutBackedOff(now)
+		backedOff = d.restrictFirstEngines(now, firsts)
 		stages = d.chooseStages(layers, d.nodes, costs)
 	}
 	return stages, backedOff
--- a/core/dispatch/runs.go
+++ b/core/dispatch/runs.go
@@ -44,13 +44,11 @@
 	return counted
 }
 
-// CountedWith is Counted with one more run in progress.
-func (r *Runs) CountedWith(f *fleet.Fleet, target fleet.Target) int {
-	counted := r.Counted(f)
-	if !r.Includes(target) && !f.Ended(target) {
-		counted++
-	}
-	return counted
+// With returns the runs with one more in progress.
+func (r *Runs) With(target fleet.Target) *Runs {
+	with := &Runs{runs: slices.Clone(r.runs)}
+	with.Add(target, false)
+	return with
 }
 
 // Unconfirmed returns the counted targets that have not responded, so that they may have ended.
--- a/core/dispatch/runs_test.go
+++ b/core/dispatch/runs_test.go
@@ -61,10 +61,38 @@
 	if asked := runs.Unconfirmed(f); len(asked) != 1 || asked[0].ID != "broken" {
 		t.Errorf("unconfirmed: %+v", asked)
 	}
-	if same := runs.CountedWith(f, fleet.Target{ID: "broken", Born: 1}); same != 2 {
+	if same := runs.With(fleet.Target{ID: "broken", Born: 1}).Counted(f); same != 2 {
 		t.Errorf("%d count with a further run on the same target", same)
 	}
-	if other := runs.CountedWith(f, fleet.Target{ID: "other", Born: 1}); other != 3 {
+	if other := runs.With(fleet.Target{ID: "other", Born: 1}).Counted(f); other != 3 {
 		t.Errorf("%d count with a run on another target", other)
 	}
 }
+
+// TestPathBeginsWithEngineOfRuns guards against paths that begin with an engine on which a generation has not run although it
+// may run on no further one, and against other engines that are left out as later stages.
+func TestPathBeginsWithEngineOfRuns(t *testing.T) {
+	size := GenerationSize{Prompt: 800, Answer: 150}
+	for _, test := range []struct {
+		name  string
+		ran   fleet.Target
+		avoid entity.TargetID
+		want  string
+	}{
+		{"engine of another zone", fleet.Target{ID: "b0", Born: 1}, "", "b0b1"},
+		{"later stage elsewhere", fleet.Target{ID: "b0", Born: 1}, "b1", "b0a1"},
+		{"later process under its id", fleet.Target{ID: "b0", Born: 7}, "", ""},
+		{"engine at fault", fleet.Target{ID: "b0", Born: 1}, "b0", ""},
+	} {
+		d, service := testDispatcher(), testService()
+		var runs Runs
+		runs.Add(test.ran, false)
+		got := ""
+		if path := d.ChoosePathFrom(start, service, size, map[entity.TargetID]bool{test.avoid: true}, &runs); path != nil {
+			got = pathTargets(path)
+		}
+		if got != test.want {
+			t.Errorf("%s: path %q, want %q", test.name, got, test.want)
+		}
+	}
+}
--- a/internal/edge/ended_test.go
+++ b/internal/edge/ended_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 
@@ -114,3 +115,68 @@
 		t.Errorf("%d runs", len(runs))
 	}
 }
+
+// TestBegunStreamGoesOnAtItsEngines guards against begun streams that are closed because two sound engines have broken them
+// off, and against ones that go on at a third engine, which their route does not allow.
+func TestBegunStreamGoesOnAtItsEngines(t *testing.T) {
+	t.Parallel()
+	for name, broken := range map[string]edgeplatform.TargetFaults{
+		"reset":   {BreakAfter: 3},
+		"stalled": {StallAfter: 3},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			d := newDeployment(t)
+			daemon := d.addDaemonAndAwaitPlacement()
+			first, _ := d.findPath(daemon)
+			d.addFirstEngine(daemon, first)
+			for _, engine := range d.engines {
+				engine.SetFaults(broken)
+			}
+			got := make(chan result, 1)
+			go func() { got <- d.stream(daemon, "begun") }()
+			d.awaitRuns("begun", 3)
+			for _, engine := range d.engines {
+				engine.SetFaults(edgeplatform.TargetFaults{})
+			}
+			d.checkWholeStream(<-got)
+			if count := d.countFirstEngines("begun"); count > 2 {
+				t.Errorf("the stream ran on %d first engines, its route allows 2", count)
+			}
+		})
+	}
+}
+
+// countFirstEngines returns the number of engines at which a stream has run.
+func (d *deployment) countFirstEngines(id string) (count int) {
+	for _, engine := range d.engines {
+		if slices.ContainsFunc(engine.Runs(), func(run edgeplatform.Run) bool { return run.RequestID == id }) {
+			count++
+		}
+	}
+	return count
+}
+
+// TestBegunStreamWaitsForSilentEngine guards against begun streams that are closed because an engine ends while only silent
+// engines are left, although these soon answer again.
+func TestBegunStreamWaitsForSilentEngine(t *testing.T) {
+	t.Parallel()
+	d := newDeployment(t)
+	daemon := d.addDaemonAndAwaitPlacement()
+	first, _ := d.findPath(daemon)
+	d.addFirstEngine(daemon, first)
+	for _, engine := range d.engines {
+		engine.SetFaults(edgeplatform.TargetFaults{StallAfter: 3})
+	}
+	got := make(chan result, 1)
+	go func() { got <- d.stream(daemon, "begun") }()
+	running := d.awaitRuns("begun", 1)
+	for _, engine := range d.engines {
+		engine.SetFaults(edgeplatform.TargetFaults{})
+		if engine != running {
+			engine.Silence(time.Second)
+		}
+	}
+	running.Close()
+	d.checkWholeStream(<-got)
+}
--- a/internal/gateway/keptattempt_test.go
+++ b/internal/gateway/keptattempt_test.go
@@ -56,7 +56,8 @@
 func modelStream(t *testing.T, g *Gateway, service *routing.Service, prompt float64) *stream {
 	t.Helper()
 	s := addStream(g, "s", time.Minute, nil)
-	s.service, s.route, s.avoid = service, &routing.Route{}, map[entity.TargetID]bool{}
+	s.service, s.avoid = service, map[entity.TargetID]bool{}
+	s.route = &routing.Route{Kind: routing.Streaming, Resumable: true, MaxAttempts: 2}
 	s.size.Prompt = prompt
 	if s.choosePath() == nil {
 		t.Fatal("no path")
--- a/internal/gateway/nextpath.go
+++ b/internal/gateway/nextpath.go
@@ -28,10 +28,23 @@
 		s.gateway.mu.Lock()
 		clear(s.avoid)
 		s.gateway.mu.Unlock()
+		s.checkFirstEngines(ctx)
 		timing.Sleep(ctx, waitInterval)
 	}
 }
 
+// checkFirstEngines checks in the background whether the engines with which the next path must begin have ended: others may
+// then take their place.
+func (s *stream) checkFirstEngines(ctx context.Context) {
+	s.gateway.mu.Lock()
+	var unconfirmed []fleet.Target
+	if firsts := s.firstEngines(); firsts != nil {
+		unconfirmed = firsts.Unconfirmed(s.gateway.dispatcher.Fleet)
+	}
+	s.gateway.mu.Unlock()
+	go s.gateway.checkEnded(context.WithoutCancel(ctx), unconfirmed, time.Now().Add(-reportTTL))
+}
+
 // choosePath returns the path of an attempt: the one that reserveNext has reserved, or one that it chooses and reserves.
 func (s *stream) choosePath() *dispatch.Path {
 	s.gateway.mu.Lock()
@@ -40,10 +53,24 @@
 		s.path, s.next = s.next, nil
 		return s.path
 	}
-	s.path = s.gateway.dispatcher.ChoosePath(boottime.Now(), s.service, s.size, s.avoid)
+	s.path = s.gateway.dispatcher.ChoosePathFrom(boottime.Now(), s.service, s.size, s.avoid, s.firstEngines())
 	return s.path
 }
 
+// firstEngines returns the engines with which the path of a further attempt may begin, nil for all. A stream that has begun
+// goes on at engines on which it may have run once as many as its route allows count. The caller holds gateway.mu.
+func (s *stream) firstEngines() *dispatch.Runs {
+	ran := &s.ran
+	if s.path != nil {
+		ran = ran.With(s.path.Stages[0].Target)
+	}
+	counted := ran.Counted(s.gateway.dispatcher.Fleet)
+	if counted == 0 || counted < s.route.MaxAttempts {
+		return nil
+	}
+	return ran
+}
+
 // reserveNext takes a retry and a path for the attempt that is to follow the one in progress, whose context is attempt, and
 // reports whether there were both. It is called before the attempt in progress is cancelled: a silent engine of its path
 // may go on, which is better than no path. usable excludes paths with suspected engines.
@@ -76,11 +103,11 @@
 			preferred[stage.Target.ID] = true
 		}
 	}
-	now, d := boottime.Now(), s.gateway.dispatcher
-	if path := d.ChooseNextPath(now, s.service, s.path, preferred, usable); path != nil {
+	now, d, firsts := boottime.Now(), s.gateway.dispatcher, s.firstEngines()
+	if path := d.ChooseNextPath(now, s.service, s.path, preferred, firsts, usable); path != nil {
 		return path
 	}
-	return d.ChooseNextPath(now, s.service, s.path, required, usable)
+	return d.ChooseNextPath(now, s.service, s.path, required, firsts, usable)
 }
 
 // releaseNext ends the reservation of a path for an attempt that was not made.
--- a/internal/gateway/reroute.go
+++ b/internal/gateway/reroute.go
@@ -145,7 +145,7 @@
 	// A stream that can be retried is retried rather than rerouted across zones, which would saturate the link between
 	// them.
 	window, now, instances := s.gateway.retryState(s.service.ID)
-	crossZone = crossZone || !s.resumable() || !window.Allows(now, instances)
+	crossZone = crossZone || !s.route.Repeatable() || s.firstEngines() != nil || !window.Allows(now, instances)
 	return s.path, s.gateway.dispatcher.Reroute(boottime.Now(), s.service, s.path, toReplace, avoid, crossZone)
 }
 
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -168,7 +168,7 @@
 	sends := s.sends
 	s.watchdog = s.gateway.inspector.watch(attemptCtx, watchedAttempt{
 		requestID: s.ID, targets: s.targets, targetsWithoutProgress: s.targetsWithoutProgress,
-		stallTimeout: s.stallTimeout, replaceable: func() bool { return s.isResumable() && s.replaceable(sends) },
+		stallTimeout: s.stallTimeout, replaceable: func() bool { return s.resumable() && s.replaceable(sends) },
 		begun:       s.headWritten.Load,
 		reserveNext: func(faulty []fleet.Target, usable bool) bool { return s.reserveNext(attemptCtx, faulty, usable) },
 		reroute:     s.reroute, cancel: cancel,
@@ -293,20 +293,17 @@
 	return s.eventForwarded.Load() || !s.gateway.quarantine.Suspected(s.PromptParts)
 }
 
-// isResumable is resumable for callers that do not hold gateway.mu.
-func (s *stream) isResumable() bool {
+// resumable reports whether the route and the limit on targets allow another attempt after the one in progress.
+func (s *stream) resumable() bool {
 	s.gateway.mu.Lock()
 	defer s.gateway.mu.Unlock()
-	return s.resumable()
+	return s.path != nil && s.route.Repeatable() && (s.headWritten.Load() || s.firstEngines() == nil)
 }
 
-// resumable reports whether the route and the limit on targets allow another attempt after the one in progress. The caller
-// holds gateway.mu.
-func (s *stream) resumable() bool {
-	if s.path == nil || !s.route.Repeatable() {
-		return false
-	}
-	return s.ran.CountedWith(s.gateway.dispatcher.Fleet, s.path.Stages[0].Target) < s.route.MaxAttempts
+// mayResume reports whether another attempt may follow one that has ended. A stream that has begun can no longer be refused:
+// if it may run on no further engine, it goes on at one on which it has run.
+func (s *stream) mayResume(ctx context.Context) bool {
+	return s.mayRunAgain(ctx) || s.headWritten.Load() && s.route.Repeatable() && s.timeLeft() > 0
 }
 
 // forwardEvents forwards events to the caller until the stream ends. Only complete events are forwarded.
@@ -413,7 +410,7 @@
 	if len(faulty) == 0 {
 		s.recordFault("", err.Error())
 	}
-	resume := s.mayRunAgain(ctx)
+	resume := s.mayResume(ctx)
 	log.Event("stream interrupted", "request", s.ID, "events", s.events, "lastEvent", s.lastEventID,
 		"idleMs", s.idle().Milliseconds(), "cancelled", s.watchdog.hasCancelled(),
 		"path", formatPath(s.currentPath()), "reason", s.lastErr.Error(), "resume", resume,
@@ -474,9 +471,9 @@
 	if err != nil || !x.head.FromTarget || x.head.ContentEncoded || s.headWritten.Load() {
 		s.lastErr, s.lastKind = fmt.Errorf("response with status %d cannot be forwarded", x.head.Status), errkind.TargetFailed
 		s.recordFault("", s.lastErr.Error())
-		return false, s.mayRunAgain(ctx)
+		return false, s.mayResume(ctx)
 	}
-	if x.head.Status >= http.StatusInternalServerError && s.mayRunAgain(ctx) {
+	if x.head.Status >= http.StatusInternalServerError && s.mayResume(ctx) {
 		s.lastErr, s.lastKind = errors.New("target responded with status "+strconv.Itoa(x.head.Status)), errkind.TargetFailed
 		return false, true
 	}
