Log which targets of a request count towards maxAttempts

The logs of a stream that was closed for want of attempts did not tell whether its engines had ended: `runs` counts all attempts. `stream interrupted` now ends with `ended` (the first engine is known to have ended) and `counted` (the engines that count), and `request ended` of a request that did not end well with `ran` and `counted`. Existing keys stay as they are.

--- a/core/dispatch/runs.go
+++ b/core/dispatch/runs.go
@@ -33,6 +33,9 @@
 	})
 }
 
+// Len returns the number of targets on which the request may have run, each once.
+func (r *Runs) Len() int { return len(r.runs) }
+
 // Counted returns the number of targets that count towards the limit on the targets of one request: those on which it may
 // have run, each once, without the processes that are known to have ended.
 func (r *Runs) Counted(f *fleet.Fleet) (counted int) {
--- a/internal/gateway/ended.go
+++ b/internal/gateway/ended.go
@@ -30,6 +30,22 @@
 	return q.ran.Counted(q.gateway.dispatcher.Fleet)
 }
 
+// runState reports whether the process of a target is known to have ended, and how many targets of the request count towards
+// the route's maximum.
+func (q *request) runState(target fleet.Target) (ended bool, counted int) {
+	q.gateway.mu.Lock()
+	defer q.gateway.mu.Unlock()
+	f := q.gateway.dispatcher.Fleet
+	return f.Ended(target), q.ran.Counted(f)
+}
+
+// runCounts returns the number of targets on which the request may have run, and of those that count.
+func (q *request) runCounts() (ran, counted int) {
+	q.gateway.mu.Lock()
+	defer q.gateway.mu.Unlock()
+	return q.ran.Len(), q.ran.Counted(q.gateway.dispatcher.Fleet)
+}
+
 // hasTargetLeft reports whether the request may run on one more target. If too many count, it first checks whether those that
 // have not responded have ended.
 func (q *request) hasTargetLeft(ctx context.Context) bool {
--- /dev/null
+++ b/internal/gateway/ended_test.go
@@ -0,0 +1,77 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/hyssophoist/hyssophoist/core/fleet"
+	"github.com/hyssophoist/hyssophoist/core/routing"
+)
+
+// queriedEngines answers each query for a report as given.
+type queriedEngines struct {
+	fakeEngines
+	report fleet.Report
+	err    error
+}
+
+func (e *queriedEngines) Report(context.Context, fleet.Target) (fleet.Report, error) {
+	return e.report, e.err
+}
+
+// TestWhichRunsCount guards against runs that stop counting although their engine may still work, and against ones that go on
+// counting after its end. Logs and the limit on targets use the same numbers.
+func TestWhichRunsCount(t *testing.T) {
+	refused := fmt.Errorf("dial: %w", syscall.ECONNREFUSED)
+	reset := fmt.Errorf("read: %w", syscall.ECONNRESET)
+	for name, test := range map[string]struct {
+		engines   *queriedEngines
+		responded bool
+		wantEnded bool
+	}{
+		"same process":         {engines: &queriedEngines{report: fleet.Report{Born: 1}}},
+		"report without start": {engines: &queriedEngines{}},
+		"connection refused":   {engines: &queriedEngines{err: refused}, wantEnded: true},
+		"later process":        {engines: &queriedEngines{report: fleet.Report{Born: 2}}, wantEnded: true},
+		"report reset":         {engines: &queriedEngines{err: reset}},
+		"report cut short":     {engines: &queriedEngines{err: io.ErrUnexpectedEOF}},
+		"silent":               {engines: &queriedEngines{err: context.DeadlineExceeded}},
+		"no route":             {engines: &queriedEngines{err: errors.New("no route to host")}},
+		"responded":            {engines: &queriedEngines{err: refused}, responded: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			g := New(Options{Engines: test.engines})
+			first, second := fleet.Target{ID: "e", Born: 1, Card: "card"}, fleet.Target{ID: "f", Born: 1, Card: "card"}
+			g.dispatcher.Fleet.Put(first)
+			g.dispatcher.Fleet.Put(second)
+			s := addStream(g, "s", 0, nil)
+			s.deadline = time.Now().Add(time.Minute)
+			s.route = &routing.Route{Kind: routing.Streaming, Resumable: true, MaxAttempts: 2}
+			s.recordRun(first, test.responded)
+			s.recordRun(second, true)
+			if left := s.mayRunAgain(t.Context()); left != test.wantEnded {
+				t.Errorf("another attempt allowed: %v, want %v", left, test.wantEnded)
+			}
+			wantCounted := 2
+			if test.wantEnded {
+				wantCounted = 1
+			}
+			if ended, counted := s.runState(first); ended != test.wantEnded || counted != wantCounted {
+				t.Errorf("ended %v, %d count, want %v and %d", ended, counted, test.wantEnded, wantCounted)
+			}
+			if ran, counted := s.runCounts(); ran != 2 || counted != wantCounted || s.runs != 2 {
+				t.Errorf("ran on %d, %d count, %d runs, want 2, %d and 2", ran, counted, s.runs, wantCounted)
+			}
+			s.route = &routing.Route{Kind: routing.Streaming, MaxAttempts: 2}
+			if s.mayRunAgain(t.Context()) {
+				t.Error("a request that must not run twice may run again")
+			}
+		})
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -427,6 +427,7 @@
 	if q.stats != nil {
 		stats = q.stats()
 	}
+	ran, counted := q.runCounts()
 	fields := []any{
 		"request", q.ID, "result", result, "status", status, "route", routeName, "kind", kind,
 		"account", q.account.ID, "version", version, "ms", duration.Milliseconds(), "sends", q.sends, "runs", q.runs,
@@ -437,7 +438,7 @@
 		log.Routine("request ended", fields...)
 	} else {
 		log.Event("request ended", append(fields, "idleMs", stats.idle.Milliseconds(), "gaveUp", string(stats.gaveUp),
-			"parts", strings.Join(q.PromptParts, ","))...)
+			"parts", strings.Join(q.PromptParts, ","), "ran", ran, "counted", counted)...)
 	}
 	if q.gateway.options.OnRequestEnd != nil {
 		q.gateway.options.OnRequestEnd(kind, result, duration)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -411,10 +411,11 @@
 		s.recordFault("", err.Error())
 	}
 	resume := s.mayResume(ctx)
+	ended, counted := s.runState(s.currentPath().Stages[0].Target)
 	log.Event("stream interrupted", "request", s.ID, "events", s.events, "lastEvent", s.lastEventID,
 		"idleMs", s.idle().Milliseconds(), "cancelled", s.watchdog.hasCancelled(),
 		"path", formatPath(s.currentPath()), "reason", s.lastErr.Error(), "resume", resume,
-		"parts", strings.Join(s.PromptParts, ","))
+		"parts", strings.Join(s.PromptParts, ","), "ended", ended, "counted", counted)
 	return false, resume
 }
 
