Bound the check whether targets of a request have ended

With maxAttempts used up, a request whose earlier target was silent waited 300 ms for its report before it went on or was answered: a further pause of a begun stream, and for a call with little time left an answer after its caller's limit. The wait is now 100 ms at most and a quarter of the time left; the check itself goes on in the background. A stream whose next path is already reserved does not wait at all.

Before: TestCheckOfSilentEngineIsShort fails with `with 1m0s left, the check took 300.860389ms, want at most 200ms` and `with 80ms left, the check took 300.561148ms, want at most 60ms`.

--- a/internal/gateway/ended.go
+++ b/internal/gateway/ended.go
@@ -11,9 +11,12 @@
 	"github.com/hyssophoist/hyssophoist/internal/boottime"
 )
 
-// connectCheckTimeout bounds the wait for a connection that shows whether a target of a plain service is still there. An
-// address without a process refuses it at once.
-const connectCheckTimeout = 100 * time.Millisecond
+const (
+	// endedCheckTimeout bounds the wait for the checks whether targets have ended, and endedCheckShare the part of the time left
+	// that it takes. An address without a process refuses connections at once.
+	endedCheckTimeout = 100 * time.Millisecond
+	endedCheckShare   = 0.25
+)
 
 // recordRun records that the request may have run on a target, and whether it has responded in full.
 func (q *request) recordRun(target fleet.Target, responded bool) {
@@ -47,7 +50,7 @@
 }
 
 // hasTargetLeft reports whether the request may run on one more target. If too many count, it first checks whether those that
-// have not responded have ended.
+// have not responded have ended. Checks that take too long go on in the background.
 func (q *request) hasTargetLeft(ctx context.Context) bool {
 	if q.countedTargets() < q.route.MaxAttempts {
 		return true
@@ -55,13 +58,19 @@
 	q.gateway.mu.Lock()
 	unconfirmed := q.ran.Unconfirmed(q.gateway.dispatcher.Fleet)
 	q.gateway.mu.Unlock()
-	q.gateway.checkEnded(ctx, unconfirmed, time.Now())
+	timeout := min(endedCheckTimeout, time.Duration(endedCheckShare*float64(q.timeLeft())))
+	select {
+	case <-q.gateway.checkEnded(ctx, unconfirmed, time.Now()):
+	case <-time.After(timeout):
+	}
 	return q.countedTargets() < q.route.MaxAttempts
 }
 
 // checkEnded checks concurrently whether the processes of targets have ended, and records what it finds. A report of an engine
-// that was read after the given time is not read again.
-func (g *Gateway) checkEnded(ctx context.Context, targets []fleet.Target, since time.Time) {
+// that was read after the given time is not read again. The channel is closed after the last check.
+func (g *Gateway) checkEnded(ctx context.Context, targets []fleet.Target, since time.Time) (done <-chan struct{}) {
+	ctx = context.WithoutCancel(ctx)
+	finished := make(chan struct{})
 	var wg sync.WaitGroup
 	for _, target := range targets {
 		wg.Go(func() {
@@ -69,7 +78,11 @@
 			log.Debugf("checked whether target %s, born %d, has ended: %v", target.ID, target.Born, err)
 		})
 	}
-	wg.Wait()
+	go func() {
+		wg.Wait()
+		close(finished)
+	}()
+	return finished
 }
 
 // contact reads the report of an engine, or connects to a target of a plain service.
@@ -78,7 +91,7 @@
 		_, err := g.inspector.inspectSince(ctx, target, since)
 		return err
 	}
-	ctx, cancel := context.WithTimeout(ctx, connectCheckTimeout)
+	ctx, cancel := context.WithTimeout(ctx, endedCheckTimeout)
 	defer cancel()
 	conn, err := g.options.Pool.Get(ctx, target.Address, true)
 	if err != nil {
--- a/internal/gateway/ended_test.go
+++ b/internal/gateway/ended_test.go
@@ -75,3 +75,33 @@
 		})
 	}
 }
+
+// blockedEngines answers no query until its timeout.
+type blockedEngines struct{ fakeEngines }
+
+func (*blockedEngines) Report(ctx context.Context, _ fleet.Target) (fleet.Report, error) {
+	<-ctx.Done()
+	return fleet.Report{}, ctx.Err()
+}
+
+// TestCheckOfSilentEngineIsShort guards against streams that pause, and calls that are answered late, because a silent target is
+// asked whether it has ended.
+func TestCheckOfSilentEngineIsShort(t *testing.T) {
+	for _, test := range []struct{ timeLeft, limit time.Duration }{
+		{time.Minute, 2 * endedCheckTimeout},
+		{80 * time.Millisecond, 60 * time.Millisecond},
+	} {
+		g := New(Options{Engines: &blockedEngines{}})
+		s := addStream(g, "s", 0, nil)
+		s.deadline = time.Now().Add(test.timeLeft)
+		s.route = &routing.Route{Kind: routing.Streaming, Resumable: true, MaxAttempts: 1}
+		s.recordRun(fleet.Target{ID: "e", Born: 1, Card: "card"}, false)
+		begun := time.Now()
+		if s.mayRunAgain(t.Context()) {
+			t.Error("a silent engine does not count")
+		}
+		if took := time.Since(begun); took > test.limit {
+			t.Errorf("with %v left, the check took %v, want at most %v", test.timeLeft, took, test.limit)
+		}
+	}
+}
--- a/internal/gateway/nextpath.go
+++ b/internal/gateway/nextpath.go
@@ -42,7 +42,7 @@
 		unconfirmed = firsts.Unconfirmed(s.gateway.dispatcher.Fleet)
 	}
 	s.gateway.mu.Unlock()
-	go s.gateway.checkEnded(context.WithoutCancel(ctx), unconfirmed, time.Now().Add(-reportTTL))
+	s.gateway.checkEnded(ctx, unconfirmed, time.Now().Add(-reportTTL))
 }
 
 // choosePath returns the path of an attempt: the one that reserveNext has reserved, or one that it chooses and reserves.
@@ -110,6 +110,13 @@
 	return d.ChooseNextPath(now, s.service, s.path, required, firsts, usable)
 }
 
+// hasNext reports whether a path is reserved for the next attempt.
+func (s *stream) hasNext() bool {
+	s.gateway.mu.Lock()
+	defer s.gateway.mu.Unlock()
+	return s.next != nil
+}
+
 // releaseNext ends the reservation of a path for an attempt that was not made.
 func (s *stream) releaseNext() {
 	s.gateway.mu.Lock()
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -303,6 +303,9 @@
 // mayResume reports whether another attempt may follow one that has ended. A stream that has begun can no longer be refused:
 // if it may run on no further engine, it goes on at one on which it has run.
 func (s *stream) mayResume(ctx context.Context) bool {
+	if s.hasNext() {
+		return true
+	}
 	return s.mayRunAgain(ctx) || s.headWritten.Load() && s.route.Repeatable() && s.timeLeft() > 0
 }
 
