Make the stream of TestUnrecoverableStreamIsAborted unrecoverable again

The test let engines break off after two events each. Since begun streams go on at the engines that have run them, ten such attempts deliver all 20 events, so the stream is whole and rightly ends like one. With one event an attempt it is given up after maxBegunSends with 16 of 20 events; the check, that it must end with an error, is the same.

--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -151,13 +151,14 @@
 	}
 }
 
-// TestUnrecoverableStreamIsAborted guards against a truncated stream that ends like a complete one.
+// TestUnrecoverableStreamIsAborted guards against a truncated stream that ends like a complete one. With one event an attempt,
+// the stream is not complete after all the attempts that a begun one may have.
 func TestUnrecoverableStreamIsAborted(t *testing.T) {
 	t.Parallel()
 	d := newDeployment(t)
 	daemon := d.addDaemonAndAwaitPlacement()
 	for _, engine := range d.engines {
-		engine.SetFaults(edgeplatform.TargetFaults{BreakAfter: 2})
+		engine.SetFaults(edgeplatform.TargetFaults{BreakAfter: 1})
 	}
 	if got := d.stream(daemon, "s1"); got.err == nil {
 		t.Fatalf("a truncated stream ended without an error: %+v", got)
