Count ended engines for streams without any event

Since engines that have ended no longer count towards maxAttempts, a generation that makes its engines crash ran on four of them instead of two, and a sound one could be at three engines that crash, for which its prompt's parts are quarantined (minCrashes assumes two). Before the first event, engines that have ended count again: the caller gets an answer at once and can come back as a new request.

Before: TestStreamWithoutEventCrashesNoThirdEngine fails with `4 runs`.

--- a/internal/edge/ended_test.go
+++ b/internal/edge/ended_test.go
@@ -180,3 +180,26 @@
 	running.Close()
 	d.checkWholeStream(<-got)
 }
+
+// TestStreamWithoutEventCrashesNoThirdEngine guards against a generation that crashes one engine after the other because those
+// that have ended do not count.
+func TestStreamWithoutEventCrashesNoThirdEngine(t *testing.T) {
+	t.Parallel()
+	d := newDeployment(t)
+	daemon := d.addDaemonAndAwaitPlacement()
+	first, _ := d.findPath(daemon)
+	d.addFirstEngine(daemon, first)
+	for _, engine := range d.engines {
+		engine.SetFaults(edgeplatform.TargetFaults{FirstEventDelay: waitLimit})
+	}
+	got := make(chan result, 1)
+	go func() { got <- d.stream(daemon, "deadly") }()
+	d.awaitRuns("deadly", 1).Close()
+	d.awaitRuns("deadly", 2).Close()
+	if answer := <-got; answer.status != http.StatusBadGateway {
+		t.Errorf("answer %+v", answer)
+	}
+	if runs := d.runsOf("deadly"); len(runs) != 2 {
+		t.Errorf("%d runs", len(runs))
+	}
+}
--- a/internal/gateway/ended.go
+++ b/internal/gateway/ended.go
@@ -7,6 +7,7 @@
 	"syscall"
 	"time"
 
+	"github.com/hyssophoist/hyssophoist/core/dispatch"
 	"github.com/hyssophoist/hyssophoist/core/fleet"
 	"github.com/hyssophoist/hyssophoist/internal/boottime"
 )
@@ -30,7 +31,22 @@
 func (q *request) countedTargets() int {
 	q.gateway.mu.Lock()
 	defer q.gateway.mu.Unlock()
-	return q.ran.Counted(q.gateway.dispatcher.Fleet)
+	return q.counted(&q.ran)
+}
+
+// counted returns the number of targets of the given runs that count. The caller holds gateway.mu.
+func (q *request) counted(runs *dispatch.Runs) int {
+	if q.countsEnded {
+		return runs.Len()
+	}
+	return runs.Counted(q.gateway.dispatcher.Fleet)
+}
+
+// setCountsEnded sets whether targets that have ended count.
+func (q *request) setCountsEnded(countsEnded bool) {
+	q.gateway.mu.Lock()
+	defer q.gateway.mu.Unlock()
+	q.countsEnded = countsEnded
 }
 
 // runState reports whether the process of a target is known to have ended, and how many targets of the request count towards
@@ -38,15 +54,14 @@
 func (q *request) runState(target fleet.Target) (ended bool, counted int) {
 	q.gateway.mu.Lock()
 	defer q.gateway.mu.Unlock()
-	f := q.gateway.dispatcher.Fleet
-	return f.Ended(target), q.ran.Counted(f)
+	return q.gateway.dispatcher.Fleet.Ended(target), q.counted(&q.ran)
 }
 
 // runCounts returns the number of targets on which the request may have run, and of those that count.
 func (q *request) runCounts() (ran, counted int) {
 	q.gateway.mu.Lock()
 	defer q.gateway.mu.Unlock()
-	return q.ran.Len(), q.ran.Counted(q.gateway.dispatcher.Fleet)
+	return q.ran.Len(), q.counted(&q.ran)
 }
 
 // hasTargetLeft reports whether the request may run on one more target. If too many count, it first checks whether those that
@@ -56,8 +71,11 @@
 		return true
 	}
 	q.gateway.mu.Lock()
-	unconfirmed := q.ran.Unconfirmed(q.gateway.dispatcher.Fleet)
+	countsEnded, unconfirmed := q.countsEnded, q.ran.Unconfirmed(q.gateway.dispatcher.Fleet)
 	q.gateway.mu.Unlock()
+	if countsEnded {
+		return false
+	}
 	timeout := min(endedCheckTimeout, time.Duration(endedCheckShare*float64(q.timeLeft())))
 	select {
 	case <-q.gateway.checkEnded(ctx, unconfirmed, time.Now()):
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -205,6 +205,9 @@
 	runs, sends int
 	// ran holds the targets on which the request may have run. Guarded by gateway.mu.
 	ran dispatch.Runs
+	// countsEnded reports whether targets that have ended count towards the route's maximum too: a generation without any event
+	// may be what makes its engines crash. Guarded by gateway.mu.
+	countsEnded bool
 	// lastErr is the error of the last failed attempt.
 	lastErr error
 	// lastKind is the error kind of the last failed attempt that left no response to forward.
--- a/internal/gateway/nextpath.go
+++ b/internal/gateway/nextpath.go
@@ -64,7 +64,7 @@
 	if s.path != nil {
 		ran = ran.With(s.path.Stages[0].Target)
 	}
-	counted := ran.Counted(s.gateway.dispatcher.Fleet)
+	counted := s.counted(ran)
 	if counted == 0 || counted < s.route.MaxAttempts {
 		return nil
 	}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -93,6 +93,7 @@
 		return
 	}
 	q.setWriteTimeout(q.timeLeft() + streamWriteTimeout)
+	s.setCountsEnded(true)
 	s.size = dispatch.EstimateGeneration(q.service.Engine, q.PromptTokens, q.ExpectedTokens, q.MaxTokens)
 	defer s.releaseNext()
 	for q.hasTime(ctx) {
@@ -366,6 +367,7 @@
 	s.forwardedAt.Store(int64(s.gateway.age()))
 	if s.events == 0 {
 		s.firstEventDelay = now.Sub(s.arrivedAt)
+		s.setCountsEnded(false)
 		s.recordServed()
 	} else {
 		s.longestPause = max(s.longestPause, now.Sub(s.lastEventTime))
