Close begun streams soon once they have used their attempts

Streams that had run as often as their route allows targets waited up to 3 s for a path or a retry. Callers leave after two seconds, while one whose connection is closed at once resumes the stream with a request of its own, which takes no retry.

Such a stream now waits 1 s for each, and is then closed as before.

Before: TestStreamIsClosedSoonAfterItsAttempts fails with `the stream was closed after 3.025941206s`.

--- a/internal/edge/ended_test.go
+++ b/internal/edge/ended_test.go
@@ -203,3 +203,26 @@
 		t.Errorf("%d runs", len(runs))
 	}
 }
+
+// TestStreamIsClosedSoonAfterItsAttempts guards against begun streams that wait, after as many attempts as their route allows
+// targets, until their callers leave, who could have resumed them with requests of their own.
+func TestStreamIsClosedSoonAfterItsAttempts(t *testing.T) {
+	t.Parallel()
+	d := newDeployment(t)
+	daemon := d.addDaemonAndAwaitPlacement()
+	for _, engine := range d.engines {
+		engine.SetFaults(edgeplatform.TargetFaults{StallAfter: 3})
+	}
+	got := make(chan result, 1)
+	go func() { got <- d.stream(daemon, "begun") }()
+	d.awaitRuns("begun", 1).Close()
+	second := d.awaitRuns("begun", 2)
+	ended := time.Now()
+	second.Close()
+	if answer := <-got; answer.err == nil {
+		t.Error("the stream was complete without an engine for the first layers")
+	}
+	if took := time.Since(ended); took > 1500*time.Millisecond {
+		t.Errorf("the stream was closed after %v", took)
+	}
+}
--- a/internal/gateway/giveup.go
+++ b/internal/gateway/giveup.go
@@ -50,10 +50,10 @@
 	return retryLimitUsed
 }
 
-// awaitRetry takes a retry and reports whether one was left. A stream that has begun waits for one up to begunWait.
+// awaitRetry takes a retry and reports whether one was left. A stream that has begun waits for one up to resumeWait.
 func (s *stream) awaitRetry(ctx context.Context) bool {
 	for waited := time.Duration(0); !s.takeRetry(); waited += waitInterval {
-		if !s.headWritten.Load() || waited >= begunWait || ctx.Err() != nil {
+		if !s.headWritten.Load() || waited >= s.resumeWait() || ctx.Err() != nil {
 			return false
 		}
 		timing.Sleep(ctx, waitInterval)
@@ -75,3 +75,12 @@
 		g.options.OnStreamBroken(string(reason))
 	}
 }
+
+// resumeWait bounds each wait of a stream that has begun, for a path or for a retry. One that has used as many attempts as its
+// route allows targets is closed soon, so that its caller can resume it with a request of its own, which takes no retry.
+func (s *stream) resumeWait() time.Duration {
+	if s.runs >= s.route.MaxAttempts {
+		return extraRunWait
+	}
+	return begunWait
+}
--- a/internal/gateway/nextpath.go
+++ b/internal/gateway/nextpath.go
@@ -13,12 +13,12 @@
 )
 
 // awaitPath returns a reserved path. If engines are missing or have just refused the stream, it waits up to pathTimeout
-// or begunWait for a path, and returns nil if it finds none. A stream that has not begun does not wait for first
+// or resumeWait for a path, and returns nil if it finds none. A stream that has not begun does not wait for first
 // engines that all asked for time.
 func (s *stream) awaitPath(ctx context.Context) *dispatch.Path {
 	timeout := pathTimeout
 	if s.headWritten.Load() {
-		timeout = begunWait
+		timeout = s.resumeWait()
 	}
 	for waited := time.Duration(0); ; waited += waitInterval {
 		if path := s.choosePath(); path != nil || waited >= timeout || ctx.Err() != nil || !s.headWritten.Load() && s.allBackOff() {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -30,8 +30,10 @@
 	pathTimeout  = time.Second
 	waitInterval = 100 * time.Millisecond
 	// begunWait bounds each wait of a stream that has begun, for a path or for a retry, and maxBegunSends replaces maxSends
-	// for it: it can no longer be refused, and callers wait for its next event for two seconds or more.
+	// for it: it can no longer be refused, and callers wait for its next event for two seconds or more. extraRunWait replaces
+	// begunWait once it has used as many attempts as its route allows targets.
 	begunWait        = 3 * time.Second
+	extraRunWait     = time.Second
 	maxBegunSends    = 16
 	eventBufferBytes = 2 << 10
 	// maxRefusalTime distinguishes an engine that refuses for a reason of its own, which it does at once, from one that
