--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -206,6 +206,11 @@
 	cancel context.CancelCauseFunc
 	// runs counts the attempts that may have run on a target, sends counts all attempts.
 	runs, sends int
+	// ran holds the targets on which the request may have run. Guarded by gateway.mu.
+	ran dispatch.Runs
+	// countsEnded reports whether targets that have ended count towards the route's maximum too: a generation without any event
+	// may be what makes its engines crash. Guarded by gateway.mu.
+	countsEnded bool
 	// lastErr is the error of the last failed attempt.
 	lastErr error
 	// lastKind is the error kind of the last failed attempt that left no response to forward.
@@ -426,6 +431,7 @@
 	if q.stats != nil {
 		stats = q.stats()
 	}
+	ran, counted := q.runCounts()
 	fields := []any{
 		"request", q.ID, "result", result, "status", status, "route", routeName, "kind", kind,
 		"account", q.account.ID, "version", version, "ms", duration.Milliseconds(), "limitMs", q.Timeout.Milliseconds(),
@@ -437,7 +443,7 @@
 		log.Routine("request ended", fields...)
 	} else {
 		log.Event("request ended", append(fields, "idleMs", stats.idle.Milliseconds(), "gaveUp", string(stats.gaveUp),
-			"parts", strings.Join(q.PromptParts, ","))...)
+			"parts", strings.Join(q.PromptParts, ","), "ran", ran, "counted", counted)...)
 	}
 	if q.gateway.options.OnRequestEnd != nil {
 		q.gateway.options.OnRequestEnd(kind, result, duration)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -30,8 +30,10 @@
 	pathTimeout  = time.Second
 	waitInterval = 100 * time.Millisecond
 	// begunWait bounds each wait of a stream that has begun, for a path or for a retry, and maxBegunSends replaces maxSends
-	// for it: it can no longer be refused, and callers wait for its next event for two seconds or more.
+	// for it: it can no longer be refused, and callers wait for its next event for two seconds or more. extraRunWait replaces
+	// begunWait once it has used as many attempts as its route allows targets.
 	begunWait        = 3 * time.Second
+	extraRunWait     = time.Second
 	maxBegunSends    = 16
 	eventBufferBytes = 2 << 10
 	// maxRefusalTime distinguishes an engine that refuses for a reason of its own, which it does at once, from one that
@@ -59,8 +61,6 @@
 	// reroutes counts the reroutes of the stream; rerouteMu is held during each.
 	reroutes  atomic.Int32
 	rerouteMu sync.Mutex
-	// resumable reports whether another attempt may follow the one in progress.
-	resumable bool
 	// headWritten reports whether the head of the response has been sent to the caller.
 	headWritten atomic.Bool
 	// lastEventID is the id of the last event forwarded to the caller, events is the number of forwarded events.
@@ -98,6 +98,7 @@
 		return
 	}
 	q.setWriteTimeout(q.streamTimeLeft() + streamWriteTimeout)
+	s.setCountsEnded(true)
 	s.size = dispatch.EstimateGeneration(q.service.Engine, q.PromptTokens, q.ExpectedTokens, q.MaxTokens)
 	defer s.releaseNext()
 	for q.hasTime(ctx) {
@@ -167,14 +168,13 @@
 	}
 	s.sends++
 	s.attemptedTargets = append(s.attemptedTargets, formatPath(path))
-	s.resumable = s.route.Repeatable() && s.runs+1 < s.route.MaxAttempts
 	attemptCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	s.register(attemptCtx, cancel)
-	resumable, sends := s.resumable, s.sends
+	sends := s.sends
 	s.watchdog = s.gateway.inspector.watch(attemptCtx, watchedAttempt{
 		requestID: s.ID, targets: s.targets, targetsWithoutProgress: s.targetsWithoutProgress,
-		stallTimeout: s.stallTimeout, replaceable: func() bool { return resumable && s.replaceable(sends) },
+		stallTimeout: s.stallTimeout, replaceable: func() bool { return s.resumable() && s.replaceable(sends) },
 		begun:       s.headWritten.Load,
 		reserveNext: func(faulty []fleet.Target, usable bool) bool { return s.reserveNext(attemptCtx, faulty, usable) },
 		reroute:     s.reroute, cancel: cancel,
@@ -194,7 +194,7 @@
 		return false, true
 	}
 	if x.head.Status != http.StatusOK || !x.head.FromTarget || x.head.ContentEncoded {
-		return s.handleNonStream(x)
+		return s.handleNonStream(ctx, x)
 	}
 	x.setTimeout(s.streamTimeLeft())
 	err = s.forwardEvents(x)
@@ -202,7 +202,7 @@
 		err = s.writeHead(x) // even a response without events needs the header field that shows that the target wrote it
 	}
 	if err == nil {
-		s.runs++
+		s.recordRun(path.Stages[0].Target, true)
 		x.releaseConn()
 		s.gateway.recordSuccess(path.Stages[0].Target.ID)
 		s.recordEnd(resultOK, "200")
@@ -301,6 +301,22 @@
 	return s.eventForwarded.Load() || !s.gateway.quarantine.Suspected(s.PromptParts)
 }
 
+// resumable reports whether the route and the limit on targets allow another attempt after the one in progress.
+func (s *stream) resumable() bool {
+	s.gateway.mu.Lock()
+	defer s.gateway.mu.Unlock()
+	return s.path != nil && s.route.Repeatable() && (s.headWritten.Load() || s.firstEngines() == nil)
+}
+
+// mayResume reports whether another attempt may follow one that has ended. A stream that has begun can no longer be refused:
+// if it may run on no further engine, it goes on at one on which it has run.
+func (s *stream) mayResume(ctx context.Context) bool {
+	if s.hasNext() {
+		return true
+	}
+	return s.mayRunAgain(ctx) || s.headWritten.Load() && s.route.Repeatable() && s.timeLeft() > 0
+}
+
 // forwardEvents forwards events to the caller until the stream ends. Only complete events are forwarded.
 func (s *stream) forwardEvents(x *exchange) error {
 	events := eventReader{in: bufio.NewReaderSize(x.response.Body, eventBufferBytes)}
@@ -360,6 +376,7 @@
 	s.forwardedAt.Store(int64(s.gateway.age()))
 	if s.events == 0 {
 		s.firstEventDelay = now.Sub(s.arrivedAt)
+		s.setCountsEnded(false)
 		s.recordServed()
 	} else {
 		s.longestPause = max(s.longestPause, now.Sub(s.lastEventTime))
@@ -400,7 +417,7 @@
 		s.recordFault(s.currentPath().Stages[0].Target.Address, err.Error())
 		return false, true
 	}
-	s.runs++
+	s.recordRun(s.currentPath().Stages[0].Target, false)
 	s.lastKind = s.unknownOutcomeKind(ctx, err)
 	s.recordCrash(ctx, err)
 	faulty := s.watchdog.stop()
@@ -411,11 +428,13 @@
 	if len(faulty) == 0 {
 		s.recordFault("", err.Error())
 	}
+	resume := s.mayResume(ctx)
+	ended, counted := s.runState(s.currentPath().Stages[0].Target)
 	log.Event("stream interrupted", "request", s.ID, "events", s.events, "lastEvent", s.lastEventID,
 		"idleMs", s.idle().Milliseconds(), "cancelled", s.watchdog.hasCancelled(),
-		"path", formatPath(s.currentPath()), "reason", s.lastErr.Error(), "resume", s.mayRunAgain(),
-		"parts", strings.Join(s.PromptParts, ","))
-	return false, s.mayRunAgain()
+		"path", formatPath(s.currentPath()), "reason", s.lastErr.Error(), "resume", resume,
+		"parts", strings.Join(s.PromptParts, ","), "ended", ended, "counted", counted)
+	return false, resume
 }
 
 // handleRefusal records which engine of the path refused the request; elapsed is the time until the response. If the
@@ -465,15 +484,15 @@
 
 // handleNonStream handles a response whose body cannot be forwarded as an event stream: its status is not 200, it was
 // not written by the target itself, or it has a content coding.
-func (s *stream) handleNonStream(x *exchange) (done, retry bool) {
-	s.runs++
+func (s *stream) handleNonStream(ctx context.Context, x *exchange) (done, retry bool) {
 	body, err := x.readBody(s.request, s.timeLeft())
+	s.recordRun(s.currentPath().Stages[0].Target, err == nil)
 	if err != nil || !x.head.FromTarget || x.head.ContentEncoded || s.headWritten.Load() {
 		s.lastErr, s.lastKind = fmt.Errorf("response with status %d cannot be forwarded", x.head.Status), errkind.TargetFailed
 		s.recordFault("", s.lastErr.Error())
-		return false, s.mayRunAgain()
+		return false, s.mayResume(ctx)
 	}
-	if x.head.Status >= http.StatusInternalServerError && s.mayRunAgain() {
+	if x.head.Status >= http.StatusInternalServerError && s.mayResume(ctx) {
 		s.lastErr, s.lastKind = errors.New("target responded with status "+strconv.Itoa(x.head.Status)), errkind.TargetFailed
 		return false, true
 	}
