Bound the targets that one call may end

What callers may cause: a repeatable call that makes its targets crash ran on up to four of them, since targets that have ended no longer count towards maxAttempts; before it was two.

Change: one ended target is made up for before the caller has got a part of the response.

Result: TestCallThatEndsItsTargetsIsGivenUp failed before ("another attempt after 3 targets have ended") and passes.

--- a/internal/gateway/ended.go
+++ b/internal/gateway/ended.go
@@ -17,6 +17,9 @@
 	// that it takes. An address without a process refuses connections at once.
 	endedCheckTimeout = 100 * time.Millisecond
 	endedCheckShare   = 0.25
+	// maxEndedTargets is the maximum number of targets that have ended and need not count towards the route's maximum before
+	// the caller has got a part of the response.
+	maxEndedTargets = 1
 )
 
 // recordRun records that the request may have run on a target, and whether it has responded in full.
--- a/internal/gateway/ended_test.go
+++ b/internal/gateway/ended_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/hyssophoist/hyssophoist/core/entity"
 	"github.com/hyssophoist/hyssophoist/core/fleet"
 	"github.com/hyssophoist/hyssophoist/core/routing"
 )
@@ -105,3 +106,22 @@
 		}
 	}
 }
+
+// TestCallThatEndsItsTargetsIsGivenUp guards against a call that makes one target after the other crash.
+func TestCallThatEndsItsTargetsIsGivenUp(t *testing.T) {
+	g := New(Options{})
+	q := &request{
+		gateway: g, deadline: time.Now().Add(time.Minute), route: &routing.Route{Kind: routing.Idempotent, MaxAttempts: 2},
+	}
+	for n := range 3 {
+		if !q.mayRunAgain(t.Context()) {
+			t.Fatalf("no attempt after %d targets have ended", n)
+		}
+		target := fleet.Target{ID: entity.TargetID(fmt.Sprint("t", n)), Born: 1}
+		q.recordRun(target, false)
+		g.recordEnded(target, "connection refused")
+	}
+	if q.mayRunAgain(t.Context()) {
+		t.Error("another attempt after 3 targets have ended")
+	}
+}
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -291,9 +291,11 @@
 	return &o.bufferedResponse, false
 }
 
-// mayRunAgain reports whether another attempt may run the call.
+// mayRunAgain reports whether another attempt may run the call. A call may itself be why its targets end, so that only
+// maxEndedTargets are made up for.
 func (q *request) mayRunAgain(ctx context.Context) bool {
-	return q.route.Repeatable() && q.timeLeft() > 0 && q.hasTargetLeft(ctx)
+	withinRuns := q.runs < q.route.MaxAttempts+maxEndedTargets
+	return withinRuns && q.route.Repeatable() && q.timeLeft() > 0 && q.hasTargetLeft(ctx)
 }
 
 // recordAttemptFailure records a failed attempt. It does not count as a failure of the target if the caller has
