Refuse requests without body memory in time for their caller

What callers saw: a caller that waits for less than half a second got the refusal after its limit.

Cause: the wait for memory for a body was 0.5 s whatever the caller's limit.

Change: it is 0.4 of that limit at most.

Result: TestRefusalForBodyMemoryArrivesInTime failed before ("status 503 after 501.930608ms, want 503 within 400ms") and passes.

--- a/internal/edge/requestbody_test.go
+++ b/internal/edge/requestbody_test.go
@@ -125,3 +125,32 @@
 		t.Errorf("status %d, %v", status, err)
 	}
 }
+
+// TestRefusalForBodyMemoryArrivesInTime guards against callers that wait for memory for their body until their limit.
+func TestRefusalForBodyMemoryArrivesInTime(t *testing.T) {
+	t.Parallel()
+	d := newDeployment(t)
+	daemon := d.addSmallDaemon()
+	for _, target := range d.plain {
+		target.Latency = 2 * time.Second
+	}
+	large := strings.Repeat("x", largeBodyBytes)
+	var calls sync.WaitGroup
+	defer calls.Wait()
+	const first = 4 // a fifth body does not fit
+	for n := range first {
+		calls.Go(func() {
+			if status, err := d.post(daemon, fmt.Sprint("first-", n), "key-1", large, false); status != http.StatusOK || err != nil {
+				t.Errorf("first bodies: status %d, %v", status, err)
+			}
+		})
+	}
+	d.waitUntil("the memory is in use", func() bool { return daemon.gateway.RequestBodyMemoryUsed() >= first*largeBodyBytes })
+	const limit = 400 * time.Millisecond
+	sent := time.Now()
+	header := map[string]string{"X-Deadline-Ms": fmt.Sprint(limit.Milliseconds())}
+	got := d.callWithHeader(daemon, http.MethodPost, "/post/1", "late", "key-1", large, header)
+	if took := time.Since(sent); got.status != http.StatusServiceUnavailable || took > limit {
+		t.Errorf("status %d after %v, want 503 within %v", got.status, took, limit)
+	}
+}
--- a/internal/gateway/requestbody.go
+++ b/internal/gateway/requestbody.go
@@ -19,8 +19,10 @@
 	smallBodyBytes = 64 << 10
 	// smallBodyRatio is the part of the memory for request bodies that is kept for small ones.
 	smallBodyRatio = 1.0 / 16
-	// maxBodyMemoryWait bounds the wait for memory for a body, which is free again when other requests end.
+	// maxBodyMemoryWait bounds the wait for memory for a body, which is free again when other requests end. A caller with
+	// little time waits for bodyMemoryShare of it, so that it can be served afterwards.
 	maxBodyMemoryWait = 500 * time.Millisecond
+	bodyMemoryShare   = 0.4
 	// firstBodyBuffer is the size of the first buffer for a body of unknown length.
 	firstBodyBuffer = 4 << 10
 )
@@ -139,7 +141,7 @@
 
 // readReserved reads a body into memory that it reserves first.
 func (q *request) readReserved(body io.Reader) ([]byte, error) {
-	ctx, cancel := context.WithTimeout(q.Request.Context(), maxBodyMemoryWait)
+	ctx, cancel := context.WithTimeout(q.Request.Context(), q.bodyMemoryWait())
 	defer cancel()
 	length := q.Request.ContentLength
 	if length < 0 {
@@ -153,6 +155,14 @@
 	return content, err
 }
 
+// bodyMemoryWait returns how long the request waits for memory for its body.
+func (q *request) bodyMemoryWait() time.Duration {
+	if q.Timeout == 0 {
+		return maxBodyMemoryWait
+	}
+	return min(maxBodyMemoryWait, time.Duration(bodyMemoryShare*float64(q.Timeout)))
+}
+
 // readChunked reads a body of unknown length into a buffer that grows with it.
 func (q *request) readChunked(ctx context.Context, body io.Reader) ([]byte, error) {
 	var content []byte
