Limit the prompts that cross zones to what the links carry

First events over the links took 0.03 to 0.1 s before engines were lost (second 12), 1 to 1.6 s at 12 and 16, and none came within 2 s from 18 to 33, where up to 176 prompts a second were sent over one link. A prompt of usual size occupies a link for 33 ms, so that it carries 30 a second, and it goes on with those whose callers have left: links to the third zone still had a wait of 1.5 s at second 36, seconds after the last burst of prompts. Begun streams over such links get their tokens as late, and second attempts that avoid the engines of the first one, and reroutes, add to the queue.

Cause: the cost of a path counts the time of its own transfer only, so that with no room within a zone every stream crosses zones, however many others do. The shared loads tell of engines, not of links.

Change: core/linkshare gives each instance a share of each link: 0.7 of it, divided by the instances that have wanted the link in the last 2 s, which the exchange of loads tells (as entries that earlier versions ignore). A path that crosses a link whose share is used up is not chosen; without another one the stream waits and is refused as before, as not run. A reroute of a begun stream may use one prompt of the share to come.

TestSaturatedLinkRefusesPaths failed before: "a prompt waits 21.989s for the link"; now 0.65 s, and 0.5 of the link or more is used. TestOverloadedLinkStaysUsable plays 75 instances and 100 prompts a second: waits of up to 1.9 s, 0.1 s from second 6 on; without a limit 23 s. TestClosedLink without the closed links: "path [0 1]". TestLinkWithRoomIsNotLimited: nothing is held back at 6 a second.

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -12,6 +12,7 @@
 	"github.com/hyssophoist/hyssophoist/core/entity"
 	"github.com/hyssophoist/hyssophoist/core/fleet"
 	"github.com/hyssophoist/hyssophoist/core/layerpath"
+	"github.com/hyssophoist/hyssophoist/core/linkshare"
 	"github.com/hyssophoist/hyssophoist/core/routing"
 )
 
@@ -42,6 +43,8 @@
 
 	// SavedAttempts counts the attempts that were not sent to a target because it asked for time.
 	SavedAttempts uint64
+	// Links limits the prompts that cross zones.
+	Links linkshare.Limiter
 
 	chooser layerpath.Chooser
 	// states and nodes are buffers filled by collectNodes.
@@ -85,14 +88,15 @@
 // ChoosePath returns the cheapest path for a generation and counts it as in progress until Release. It returns nil if
 // no engines with enough free KV cache cover all layers: an engine would reject such a generation or evict another one.
 // Engines in avoid are excluded, and those that asked for time from being the first one. Engines that leave by their own
-// response are only used as a last resort.
+// response are only used as a last resort. The path does not cross zones over a link of which this instance's share is used
+// up: the prompt would wait there for longer than its caller.
 func (d *Dispatcher) ChoosePath(now time.Time, service *routing.Service, size GenerationSize,
 	avoid map[entity.TargetID]bool) *Path {
 	stages, backedOff := d.findStages(now, service, size, avoid)
 	if stages == nil {
 		return nil
 	}
-	return d.reserveStages(stages, size, backedOff)
+	return d.reserveStages(now, service, stages, size, backedOff)
 }
 
 // ChooseNextPath is like ChoosePath for the generation on the path current, as if it had left that path. usable excludes
@@ -105,7 +109,7 @@
 	if stages == nil || usable && d.anySuspected(now, stages) {
 		return nil
 	}
-	return d.reserveStages(stages, current.size, backedOff)
+	return d.reserveStages(now, service, stages, current.size, backedOff)
 }
 
 // findStages returns the stages of the cheapest path for a generation, or nil. backedOff reports whether engines were left
@@ -116,19 +120,21 @@
 	costs := d.transferCosts(service.Engine, size)
 	leaving := d.collectNodes(now, service, size, avoid, false)
 	backedOff = d.leaveOutBackedOff(now)
-	stages = d.chooseStages(layers, d.nodes, costs)
+	stages = d.chooseOpenStages(now, layers, costs, transferTime(service.Engine, size))
 	if stages == nil && leaving > 0 {
 		d.collectNodes(now, service, size, avoid, true)
 		backedOff = d.leaveOutBackedOff(now)
-		stages = d.chooseStages(layers, d.nodes, costs)
+		stages = d.chooseOpenStages(now, layers, costs, transferTime(service.Engine, size))
 	}
 	return stages, backedOff
 }
 
 // reserveStages counts a path with these stages as in progress.
-func (d *Dispatcher) reserveStages(stages []Stage, size GenerationSize, backedOff bool) *Path {
+func (d *Dispatcher) reserveStages(now time.Time, service *routing.Service, stages []Stage, size GenerationSize,
+	backedOff bool) *Path {
 	path := &Path{Stages: stages, size: size}
 	d.reserve(path)
+	d.takeLinks(now, crossings(stages), transferTime(service.Engine, size))
 	d.beginAttempt(&path.Stages[0].Target, backedOff)
 	return path
 }
--- a/core/dispatch/reroute.go
+++ b/core/dispatch/reroute.go
@@ -6,6 +6,7 @@
 
 	"github.com/hyssophoist/hyssophoist/core/entity"
 	"github.com/hyssophoist/hyssophoist/core/fleet"
+	"github.com/hyssophoist/hyssophoist/core/linkshare"
 	"github.com/hyssophoist/hyssophoist/core/routing"
 )
 
@@ -18,7 +19,8 @@
 // path within another zone.
 //
 // The new path is counted as in progress until Release, in addition to the old one. Reroute returns nil if the first
-// engine is faulty, since it holds the connection, or if no other engines with enough free KV cache cover the layers.
+// engine is faulty, since it holds the connection, if no other engines with enough free KV cache cover the layers, or if the
+// tokens so far would pass a link between zones of which this instance's share is used up.
 func (d *Dispatcher) Reroute(now time.Time, service *routing.Service, path *Path,
 	faulty, avoid map[entity.TargetID]bool, crossZone bool) *Path {
 	if faulty[path.Stages[0].Target.ID] {
@@ -58,7 +60,12 @@
 		rerouted.Stages = append(rerouted.Stages, replacements...)
 		i = end
 	}
+	added, transfer := addedCrossings(path.Stages, rerouted.Stages), transferTime(service.Engine, path.size)
+	if !d.linksAllow(now, added, transfer, true) {
+		return nil
+	}
 	d.reserve(rerouted)
+	d.takeLinks(now, added, transfer)
 	return rerouted
 }
 
@@ -83,6 +90,21 @@
 	return d.chooseStages(gap, d.nodes[:kept], costs)
 }
 
+// addedCrossings returns the links over which the new path passes tokens between two engines that do not follow each other
+// on the old one.
+func addedCrossings(before, after []Stage) (links []linkshare.Link) {
+	adjacent := make(map[[2]entity.TargetID]bool)
+	for i := 1; i < len(before); i++ {
+		adjacent[[2]entity.TargetID{before[i-1].Target.ID, before[i].Target.ID}] = true
+	}
+	for i := 1; i < len(after); i++ {
+		if !adjacent[[2]entity.TargetID{after[i-1].Target.ID, after[i].Target.ID}] {
+			links = append(links, crossings(after[i-1:i+1])...)
+		}
+	}
+	return links
+}
+
 // Targets returns the engines of a path in order.
 func (p *Path) Targets() []fleet.Target {
 	targets := make([]fleet.Target, len(p.Stages))
--- a/core/layerpath/layerpath.go
+++ b/core/layerpath/layerpath.go
@@ -44,6 +44,8 @@
 	// that of the instance.
 	RemoteEntry float64
 	Zone        entity.ZoneID
+	// Closed reports whether no path may go from an engine of one zone to one of another; nil if all may.
+	Closed func(from, to entity.ZoneID) bool
 }
 
 // Chooser finds paths. It reuses its buffers between calls and is not safe for concurrent use.
@@ -55,6 +57,8 @@
 	bestByZone []zoneBest
 	zones      []entity.ZoneID
 	zoneIndex  []int
+	// crossing holds the cost of a step from one zone to another, by the index of the first and of the second.
+	crossing []float64
 }
 
 // zoneBest holds the two cheapest last nodes of a zone; -1 for none. The second cheapest is used if the node to be added
@@ -99,6 +103,7 @@
 // a stage always runs up to the end of its node's range, so that no node can appear twice.
 func (c *Chooser) choose(layers int, nodes []Node, costs Costs, toRangeEnd bool) ([]Stage, float64, bool) {
 	c.prepare(layers, nodes)
+	c.prepareCrossings(costs)
 	for b, from := range c.boundaries[:len(c.boundaries)-1] {
 		if from > 0 {
 			c.rankLastNodes(b, len(nodes))
@@ -144,6 +149,23 @@
 	}
 }
 
+// prepareCrossings fills the costs of steps between zones.
+func (c *Chooser) prepareCrossings(costs Costs) {
+	c.crossing = c.crossing[:0]
+	for _, from := range c.zones {
+		for _, to := range c.zones {
+			cost := costs.CrossZone
+			switch {
+			case from == to:
+				cost = 0
+			case costs.Closed != nil && costs.Closed(from, to):
+				cost = math.Inf(1)
+			}
+			c.crossing = append(c.crossing, cost)
+		}
+	}
+}
+
 // rankLastNodes finds the two cheapest last nodes of each zone at boundary b.
 func (c *Chooser) rankLastNodes(b, nodeCount int) {
 	for zone := range c.bestByZone {
@@ -176,10 +198,7 @@
 		if best.node[0] == n {
 			choice = 1
 		}
-		cost := best.cost[choice] + costs.Hop
-		if zone != c.zoneIndex[n] {
-			cost += costs.CrossZone
-		}
+		cost := best.cost[choice] + costs.Hop + c.crossing[zone*len(c.zones)+c.zoneIndex[n]]
 		if cost < least {
 			least, previous = cost, best.node[choice]
 		}
--- a/core/layerpath/layerpath_test.go
+++ b/core/layerpath/layerpath_test.go
@@ -151,3 +151,19 @@
 	c.prepare(layers, nodes)
 	return c.boundaries
 }
+
+// TestClosedLink guards against a path that goes from one zone to another over a closed link.
+func TestClosedLink(t *testing.T) {
+	nodes := []Node{node(0, 0, 4, "a", 1), node(1, 4, 8, "b", 1), node(2, 4, 8, "a", 9)}
+	closed := func(from, to entity.ZoneID) bool { return from == "a" && to == "b" }
+	var chooser Chooser
+	if path, _, ok := chooser.Choose(8, nodes, Costs{Zone: "a", Closed: closed}); !ok || path[1].Index != 2 {
+		t.Errorf("path %v", indices(path))
+	}
+	if path, cost, ok := chooser.Choose(8, nodes[:2], Costs{Zone: "a", Closed: closed}); ok {
+		t.Errorf("path %v for %v", indices(path), cost)
+	}
+	if path, _, ok := chooser.Choose(8, nodes, Costs{Zone: "a"}); !ok || path[1].Index != 1 {
+		t.Errorf("without closed links: path %v", indices(path))
+	}
+}
--- a/core/loadshare/loadshare.go
+++ b/core/loadshare/loadshare.go
@@ -48,7 +48,7 @@
 	Responsive, Unresponsive bool
 }
 
-// Loads maps engines to loads. Engines without load are omitted.
+// Loads maps engines to loads. Engines without load are omitted. Its entries for links are described in link.go.
 type Loads map[entity.TargetID]Load
 
 // add adds other to l.
--- a/core/loadshare/loadshare_test.go
+++ b/core/loadshare/loadshare_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/hyssophoist/hyssophoist/core/entity"
+	"github.com/hyssophoist/hyssophoist/core/linkshare"
 )
 
 var start = time.Unix(1000, 0)
@@ -159,3 +160,17 @@
 		}
 	}
 }
+
+// TestLinksAreCounted guards against instances that count wrongly with how many others they share a link.
+func TestLinksAreCounted(t *testing.T) {
+	link := linkshare.Link{From: "z", To: "other"}
+	loads := Loads{"i-1": {Sequences: 3}}
+	loads.AddLink(link)
+	table := New(instance("a", "z"))
+	table.SetReport(start, instance("b", "z"), Report{Loads: loads})
+	table.SetReport(start, instance("c", "z"), Report{Loads: loads})
+	others, _ := table.Others(start, nil, "a")
+	if links := others.Links(); len(links) != 1 || links[link] != 2 {
+		t.Errorf("others share %v", links)
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -22,6 +22,7 @@
 	"github.com/hyssophoist/hyssophoist/core/entity"
 	"github.com/hyssophoist/hyssophoist/core/errkind"
 	"github.com/hyssophoist/hyssophoist/core/fleet"
+	"github.com/hyssophoist/hyssophoist/core/linkshare"
 	"github.com/hyssophoist/hyssophoist/core/loadshare"
 	"github.com/hyssophoist/hyssophoist/core/quarantine"
 	"github.com/hyssophoist/hyssophoist/core/retry"
@@ -102,7 +103,9 @@
 	options.RetryLimit.Slack *= retryLimitShare
 	g := &Gateway{
 		options: options, createdAt: time.Now(),
-		dispatcher:   &dispatch.Dispatcher{Zone: options.Zone, Fleet: fleet.New()},
+		dispatcher: &dispatch.Dispatcher{
+			Zone: options.Zone, Fleet: fleet.New(), Links: linkshare.Limiter{Random: rand.Float64},
+		},
 		retryWindows: make(map[entity.ServiceID]*retry.Window),
 		requests:     make(map[*request]struct{}), streams: make(map[*stream]struct{}), retryEpoch: boottime.Now(),
 		quarantine: quarantine.New(rand.Float64),
@@ -142,7 +145,7 @@
 func (g *Gateway) OwnLoads() loadshare.Loads {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.dispatcher.Fleet.OwnLoads(boottime.Now())
+	return g.dispatcher.OwnLoads(boottime.Now())
 }
 
 // SetOtherLoads implements loadshare.View.
@@ -150,7 +153,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.collector = collector
-	g.dispatcher.Fleet.SetOtherLoads(boottime.Now(), loads, instances.Zone)
+	g.dispatcher.SetOtherLoads(boottime.Now(), loads, instances.Zone)
 	// Instances that this one can no longer reach still use their share of the retry limit, so the number never falls.
 	g.peakInstances = max(g.peakInstances, instances.All)
 }
