Refuse new generations soon while engines are there but full

What callers saw: while engines were full, a new stream was held for up to a second for a path. It then either got one, and its first event came after the objective, or 503.

Cause: the wait of a second is meant for layers that other engines load after a loss, and was the same for engines that are full.

Change: if the engines of a zone that may be used cover all layers, so that a path is missing for want of room only, a stream that has not begun waits for 0.3 s and is then refused, not run, with Retry-After. If layers are missing it waits for a second as before. Begun streams and engines that are silent (these count as missing) are treated as before.

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -112,6 +112,18 @@
 	return d.reserveStages(now, service, stages, current.size, backedOff)
 }
 
+// Covered reports whether the engines of a zone that a generation may use cover all layers, whether or not they have free KV
+// cache. Where ChoosePath finds no path then, they are full; otherwise layers are missing and will be loaded by others.
+func (d *Dispatcher) Covered(now time.Time, service *routing.Service, size GenerationSize) bool {
+	d.collectNodes(now, service, size, nil, true)
+	for i := range d.nodes {
+		d.nodes[i].LayerCapacity = d.nodes[i].Layers.Len()
+	}
+	costs := d.transferCosts(service.Engine, size)
+	costs.Closed = func(entity.ZoneID, entity.ZoneID) bool { return true }
+	return d.chooseStages(entity.LayerRange{To: service.Engine.Layers}, d.nodes, costs) != nil
+}
+
 // findStages returns the stages of the cheapest path for a generation, or nil. backedOff reports whether engines were left
 // out as first ones because they asked for time.
 func (d *Dispatcher) findStages(now time.Time, service *routing.Service, size GenerationSize,
--- a/core/dispatch/links_test.go
+++ b/core/dispatch/links_test.go
@@ -94,3 +94,17 @@
 		t.Errorf("%d instances share the link, want 2", got)
 	}
 }
+
+// TestCoveredWithinZone guards against layers that are missing in each zone and are taken for full engines.
+func TestCoveredWithinZone(t *testing.T) {
+	service, size := testService(), GenerationSize{Prompt: 800, Answer: 150}
+	d := testDispatcher()
+	full := loadshare.Load{Sequences: 100, Cache: 4 * 25000}
+	d.SetOtherLoads(start, loadshare.Loads{"a0": full, "a1": full, "b0": full, "b1": full}, 2)
+	if d.ChoosePath(start, service, size, nil) != nil || !d.Covered(start, service, size) {
+		t.Error("full engines do not count as full")
+	}
+	if splitDispatcher().Covered(start, service, size) {
+		t.Error("a zone without all layers counts as full")
+	}
+}
--- a/internal/gateway/nextpath.go
+++ b/internal/gateway/nextpath.go
@@ -12,16 +12,11 @@
 	"github.com/hyssophoist/hyssophoist/internal/timing"
 )
 
-// awaitPath returns a reserved path. If engines are missing or have just refused the stream, it waits up to pathTimeout
-// or begunWait for a path, and returns nil if it finds none. A stream that has not begun does not wait for first
-// engines that all asked for time.
+// awaitPath returns a reserved path, and nil if it finds none as long as waitsForPath. Engines may
+// be missing, full, or have just refused the stream.
 func (s *stream) awaitPath(ctx context.Context) *dispatch.Path {
-	timeout := pathTimeout
-	if s.headWritten.Load() {
-		timeout = begunWait
-	}
 	for waited := time.Duration(0); ; waited += waitInterval {
-		if path := s.choosePath(); path != nil || waited >= timeout || ctx.Err() != nil || !s.headWritten.Load() && s.allBackOff() {
+		if path := s.choosePath(); path != nil || ctx.Err() != nil || !s.waitsForPath(waited) {
 			return path
 		}
 		// An engine that refused may have capacity again, and there may be no other.
@@ -32,6 +27,26 @@
 	}
 }
 
+// waitsForPath reports whether to wait on for a path. A stream that has not begun does not wait for first engines that all
+// asked for time, and only shortly for engines that are there but full: those that arrive later would be late too.
+func (s *stream) waitsForPath(waited time.Duration) bool {
+	switch {
+	case s.headWritten.Load():
+		return waited < begunWait
+	case s.allBackOff():
+		return false
+	default:
+		return waited < fullTimeout || waited < pathTimeout && !s.enginesFull()
+	}
+}
+
+// enginesFull reports whether the engines of a zone cover all layers, so that a stream that gets no path is refused for lack of room.
+func (s *stream) enginesFull() bool {
+	s.gateway.mu.Lock()
+	defer s.gateway.mu.Unlock()
+	return s.gateway.dispatcher.Covered(boottime.Now(), s.service, s.size)
+}
+
 // choosePath returns the path of an attempt: the one that reserveNext has reserved, or one that it chooses and reserves.
 func (s *stream) choosePath() *dispatch.Path {
 	s.gateway.mu.Lock()
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -27,7 +27,9 @@
 	eventTimeout      = 1200 * time.Millisecond
 	// pathTimeout bounds the wait for a path while layers are missing: other engines load them in about a second, and a
 	// refused caller retries only once. waitInterval is the interval between two tries to find a path or take a retry.
-	pathTimeout  = time.Second
+	pathTimeout = time.Second
+	// fullTimeout bounds the wait while engines are there but full. It leaves time for a first event within half a second.
+	fullTimeout  = 300 * time.Millisecond
 	waitInterval = 100 * time.Millisecond
 	// begunWait bounds each wait of a stream that has begun, for a path or for a retry, and maxBegunSends replaces maxSends
 	// for it: it can no longer be refused, and callers wait for its next event for two seconds or more.
