Refuse no body that arrives slowly for want of memory that is free

What callers saw: a request with a body of unknown length that took longer than 0.5 s to arrive, or 0.4 of its caller's limit, got 503 (overloaded), however much memory for bodies was free.

Cause: the wait for memory began with the body and went on while it arrived, so that the next extension of its buffer was refused.

Change: only the time in which the request waits for memory counts, all extensions of its buffer together.

Result: TestSlowBodyOfUnknownLengthIsServed failed before ("status 503, <nil>") and passes.

--- a/internal/edge/requestbody_test.go
+++ b/internal/edge/requestbody_test.go
@@ -154,3 +154,23 @@
 		t.Errorf("status %d after %v, want 503 within %v", got.status, took, limit)
 	}
 }
+
+// TestSlowBodyOfUnknownLengthIsServed guards against bodies that are refused for want of memory, of which there is enough, since
+// they take longer to arrive than a body waits for memory.
+func TestSlowBodyOfUnknownLengthIsServed(t *testing.T) {
+	t.Parallel()
+	d := newDeployment(t)
+	daemon := d.addSmallDaemon()
+	caller := dialCaller(t, daemon)
+	caller.write("POST /post/1 HTTP/1.1\r\nHost: " + edgeplatform.Host + "\r\nX-Request-Id: slow\r\nX-Deadline-Ms: 4000\r\n" +
+		"X-Key: key-1\r\nTransfer-Encoding: chunked\r\n\r\n")
+	const chunkBytes, chunks = 4 << 10, 4
+	for range chunks {
+		caller.write(fmt.Sprintf("%x\r\n%s\r\n", chunkBytes, strings.Repeat("x", chunkBytes)))
+		time.Sleep(300 * time.Millisecond)
+	}
+	caller.write("0\r\n\r\n")
+	if status, err := caller.answer(); status != http.StatusOK || err != nil {
+		t.Errorf("status %d, %v", status, err)
+	}
+}
--- a/internal/gateway/requestbody.go
+++ b/internal/gateway/requestbody.go
@@ -62,6 +62,8 @@
 type bodyReservation struct {
 	memory       *requestBodyMemory
 	small, large int64
+	// waited is the time that the request has waited for memory.
+	waited time.Duration
 }
 
 // grow extends the reservation to size bytes, for which it waits until ctx ends.
@@ -141,13 +143,11 @@
 
 // readReserved reads a body into memory that it reserves first.
 func (q *request) readReserved(body io.Reader) ([]byte, error) {
-	ctx, cancel := context.WithTimeout(q.Request.Context(), q.bodyMemoryWait())
-	defer cancel()
 	length := q.Request.ContentLength
 	if length < 0 {
-		return q.readChunked(ctx, body)
+		return q.readChunked(body)
 	}
-	if err := q.body.grow(ctx, length); err != nil {
+	if err := q.growBody(length); err != nil {
 		return nil, err
 	}
 	content := make([]byte, length)
@@ -155,6 +155,16 @@
 	return content, err
 }
 
+// growBody extends the memory for the body to size bytes.
+func (q *request) growBody(size int64) error {
+	ctx, cancel := context.WithTimeout(q.Request.Context(), q.bodyMemoryWait()-q.body.waited)
+	defer cancel()
+	begunAt := time.Now()
+	err := q.body.grow(ctx, size)
+	q.body.waited += time.Since(begunAt)
+	return err
+}
+
 // bodyMemoryWait returns how long the request waits for memory for its body.
 func (q *request) bodyMemoryWait() time.Duration {
 	if q.Timeout == 0 {
@@ -164,12 +174,12 @@
 }
 
 // readChunked reads a body of unknown length into a buffer that grows with it.
-func (q *request) readChunked(ctx context.Context, body io.Reader) ([]byte, error) {
+func (q *request) readChunked(body io.Reader) ([]byte, error) {
 	var content []byte
 	for {
 		if len(content) == cap(content) {
 			size := max(firstBodyBuffer, 2*cap(content))
-			if err := q.body.grow(ctx, int64(size)); err != nil {
+			if err := q.growBody(int64(size)); err != nil {
 				return nil, err
 			}
 			content = append(make([]byte, 0, size), content...)
