Do not let requests without a body wait for memory for one

What callers saw: while the memory for small bodies was used up and another request waited for it, requests without a body waited behind that one and got 503 (overloaded) after up to 0.5 s.

Cause: they too asked the semaphore, for 0 bytes. It serves in order, so that 0 bytes wait for the first in the queue.

Change: a reservation that needs no more memory does not ask for any.

Result: TestEmptyBodyWaitsForNoMemory failed before ("empty body: bodies of requests in progress use up the memory for them") and passes.

--- a/internal/gateway/requestbody.go
+++ b/internal/gateway/requestbody.go
@@ -81,6 +81,9 @@
 // take extends what is taken from one of the pools to size bytes.
 func (r *bodyReservation) take(ctx context.Context, pool bodyPool, taken *int64, size int64) error {
 	missing := size - *taken
+	if missing == 0 {
+		return nil
+	}
 	if size > pool.limit || pool.free.Acquire(ctx, missing) != nil {
 		return errNoBodyMemory
 	}
