Limit the time for a request's body to that of its caller

What callers saw: the memory for a body is reserved by its announced length, before it arrives, and was held for as long as its connection stayed open. A few callers whose bodies do not arrive had the large bodies of all others refused; they themselves got no answer.

Cause: no read of a body had a deadline.

Change: a body must have arrived within the limit of its caller, 30 s if it names none and at least 250 ms. Otherwise the request is refused as not run. The end of the body removes the deadline, since the server goes on reading to detect a disconnected caller.

Result: TestStalledBodyHoldsNoMemory failed before ("1048576 bytes are reserved after the limit of the caller", "status 0, read tcp ...: i/o timeout") and passes.

--- a/internal/edge/requestbody_test.go
+++ b/internal/edge/requestbody_test.go
@@ -174,3 +174,22 @@
 		t.Errorf("status %d, %v", status, err)
 	}
 }
+
+// TestStalledBodyHoldsNoMemory guards against callers that use up the memory for bodies by sending only heads.
+func TestStalledBodyHoldsNoMemory(t *testing.T) {
+	t.Parallel()
+	d := newDeployment(t)
+	daemon := d.addSmallDaemon()
+	caller := dialCaller(t, daemon)
+	head := strings.Replace(posting("stalled"), "Content-Length: 8", fmt.Sprint("Content-Length: ", largeBodyBytes), 1)
+	caller.write(head)
+	d.waitUntil("the memory is reserved", func() bool { return daemon.gateway.RequestBodyMemoryUsed() > 0 })
+	const limit = time.Second // of the caller
+	time.Sleep(limit + 500*time.Millisecond)
+	if used := daemon.gateway.RequestBodyMemoryUsed(); used > 0 {
+		t.Errorf("%d bytes are reserved after the limit of the caller", used)
+	}
+	if status, err := caller.answer(); status != http.StatusServiceUnavailable || err != nil {
+		t.Errorf("status %d, %v", status, err)
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -290,6 +290,7 @@
 // admit finds the route, account and service of the request and reads its body. On failure it returns false and the error
 // kind.
 func (q *request) admit() (errkind.Kind, bool) {
+	q.limitBodyTime()
 	configuration := q.gateway.configuration.Load()
 	if configuration == nil {
 		return errkind.NoConfiguration, false
--- a/internal/gateway/requestbody.go
+++ b/internal/gateway/requestbody.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"sync/atomic"
 	"time"
 
@@ -23,6 +24,9 @@
 	// little time waits for bodyMemoryShare of it, so that it can be served afterwards.
 	maxBodyMemoryWait = 500 * time.Millisecond
 	bodyMemoryShare   = 0.4
+	// minBodyTime is the least time for a body to arrive, so that a caller with little time left gets a refusal rather than a
+	// closed connection.
+	minBodyTime = 250 * time.Millisecond
 	// firstBodyBuffer is the size of the first buffer for a body of unknown length.
 	firstBodyBuffer = 4 << 10
 )
@@ -127,15 +131,57 @@
 	if errors.As(err, &tooLarge) {
 		return errkind.TooLarge, false
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		q.lastErr = err
+		return errkind.DeadlineInfeasible, false
+	}
 	return errkind.BadRequest, false
 }
 
+// limitBodyTime limits the time for the body to arrive to that of the caller. The memory for it is reserved before it arrives.
+func (q *request) limitBodyTime() {
+	if q.Request.ContentLength == 0 {
+		return
+	}
+	timeout := maxTimeout
+	if q.Timeout > 0 {
+		timeout = min(timeout, max(minBodyTime, q.Timeout))
+	}
+	q.setReadDeadline(q.arrivedAt.Add(timeout))
+}
+
+func (q *request) setReadDeadline(deadline time.Time) {
+	if err := http.NewResponseController(q.writer).SetReadDeadline(deadline); err != nil {
+		log.Debugf("no read deadline for request %s: %v", q.ID, err)
+	}
+}
+
+// timedBody is the body of a request with limitBodyTime. At its end it removes the limit, since the server goes on reading from
+// the connection to detect a disconnected caller.
+type timedBody struct {
+	io.Reader
+	request *request
+}
+
+// Read implements io.Reader.
+func (b timedBody) Read(p []byte) (int, error) {
+	n, err := b.Reader.Read(p)
+	if errors.Is(err, io.EOF) {
+		b.request.setReadDeadline(time.Time{})
+	}
+	return n, err
+}
+
 // limitedBody returns the body of the caller's request, of which at most limit bytes can be read unless limit is 0.
 func (q *request) limitedBody(limit int64) io.Reader {
-	if limit == 0 {
-		return q.Request.Body
+	body := q.Request.Body
+	if limit > 0 {
+		body = http.MaxBytesReader(q.writer, body, limit)
+	}
+	if q.Request.ContentLength == 0 {
+		return body
 	}
-	return http.MaxBytesReader(q.writer, q.Request.Body, limit)
+	return timedBody{Reader: body, request: q}
 }
 
 // discardBody reads the body of a request that is refused, so that the caller reads the refusal on an open connection.
