Do not cancel each slow attempt of a begun stream

What callers saw: a stream whose engine had broken off was closed in the middle, although the engine of its second attempt would have gone on 1.4 s later, while callers wait for two seconds.

Cause: since a begun stream may go on at engines on which it has run, its last attempt on a new engine counts as replaceable, and was cancelled after 1.2 s without an event. The attempts after it had to wait for their first event too and were cancelled in the same way, until the retries or the attempts were used up.

Change: once a further attempt may only run on engines on which the stream has run, an attempt without an event of its own is only cancelled for an engine that is silent or has ended. One that has got events and stalls is replaced as before.

--- a/internal/edge/begun_test.go
+++ b/internal/edge/begun_test.go
@@ -124,6 +124,28 @@
 	}
 }
 
+// TestSlowLastAttemptOfBegunStreamIsKept guards against begun streams that are closed because each attempt is cancelled
+// before its first event, although the last one that their route allows would have served them.
+func TestSlowLastAttemptOfBegunStreamIsKept(t *testing.T) {
+	t.Parallel()
+	const delay = 1400 * time.Millisecond // callers wait for longer
+	d := newDeployment(t)
+	daemon := d.addDaemonAndAwaitPlacement()
+	for _, engine := range d.engines {
+		engine.SetFaults(edgeplatform.TargetFaults{BreakAfter: 3, FirstEventDelay: delay})
+	}
+	got := make(chan result, 1)
+	go func() { got <- d.stream(daemon, "begun") }()
+	d.awaitRuns("begun", 1)
+	for _, engine := range d.engines {
+		engine.SetFaults(edgeplatform.TargetFaults{FirstEventDelay: delay})
+	}
+	d.checkWholeStream(<-got)
+	if runs := len(d.runsOf("begun")); runs != 2 {
+		t.Errorf("%d runs, want 2", runs)
+	}
+}
+
 // TestBegunStreamWaitsForRetry guards against begun streams that are closed because the retry limit is used up when their
 // engine breaks off, although a retry is left a moment later.
 func TestBegunStreamWaitsForRetry(t *testing.T) {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -72,6 +72,8 @@
 	// one, in nanoseconds.
 	eventForwarded atomic.Bool
 	forwardedAt    atomic.Int64
+	// attemptProgressed reports whether the attempt in progress has got an event.
+	attemptProgressed atomic.Bool
 	// firstEventDelay is the time from the arrival of the request to the first event, longestPause the longest time
 	// between two events.
 	firstEventDelay, longestPause time.Duration
@@ -172,6 +174,7 @@
 	defer cancel()
 	s.register(attemptCtx, cancel)
 	sends := s.sends
+	s.attemptProgressed.Store(false)
 	s.watchdog = s.gateway.inspector.watch(attemptCtx, watchedAttempt{
 		requestID: s.ID, targets: s.targets, targetsWithoutProgress: s.targetsWithoutProgress,
 		stallTimeout: s.stallTimeout, replaceable: func() bool { return s.resumable() && s.replaceable(sends) },
@@ -282,12 +285,24 @@
 }
 
 // stallTimeout returns how long the stream waits for its next event if no engine is found to be faulty and another
-// attempt may follow.
+// attempt may follow. A begun stream that could only go on at an engine on which it has run waits for the first event of its
+// attempt however long that takes: a further attempt would have to wait for it again.
 func (s *stream) stallTimeout() time.Duration {
-	if s.eventForwarded.Load() {
+	switch {
+	case !s.eventForwarded.Load():
+		return firstEventTimeout
+	case !s.attemptProgressed.Load() && s.usedItsTargets():
+		return maxTimeout
+	default:
 		return eventTimeout
 	}
-	return firstEventTimeout
+}
+
+// usedItsTargets reports whether an attempt after the one in progress may only run on engines on which the stream has run.
+func (s *stream) usedItsTargets() bool {
+	s.gateway.mu.Lock()
+	defer s.gateway.mu.Unlock()
+	return s.firstEngines() != nil
 }
 
 // replaceable reports whether another attempt may follow the one that is the attempt number sends, apart from the retry and
@@ -373,6 +388,7 @@
 	now := time.Now()
 	s.watchdog.recordArrival()
 	s.eventForwarded.Store(true)
+	s.attemptProgressed.Store(true)
 	s.forwardedAt.Store(int64(s.gateway.age()))
 	if s.events == 0 {
 		s.firstEventDelay = now.Sub(s.arrivedAt)
