Do not pool the connections that check whether targets have ended

What callers saw: a call got 504 although its target had answered at once, if that target does not name requests in its responses.

Cause: the check whether a target of a plain service has ended put its connection into the pool. From there it counts as one that has carried a request, on which a response without a request id is skipped.

Change: the connection is closed, which also frees its place at the target.

Result: TestCheckOfTargetsLeavesNoReusedConnection failed before ("status:504 body:{error: deadline_exceeded}", 2 runs) and passes.

--- a/internal/edge/foreign_test.go
+++ b/internal/edge/foreign_test.go
@@ -48,3 +48,26 @@
 		}
 	}
 }
+
+// TestCheckOfTargetsLeavesNoReusedConnection guards against calls that fail since their target does not name requests and their
+// connection, which was opened to check whether the target has ended, counts as reused.
+func TestCheckOfTargetsLeavesNoReusedConnection(t *testing.T) {
+	t.Parallel()
+	d := newDeployment(t)
+	daemon := d.addDaemon("a")
+	for _, target := range d.plain {
+		target.SetFaults(edgeplatform.TargetFaults{LoseResponses: true})
+	}
+	if got := d.call(daemon, http.MethodGet, "/read/1", "lost", "key-1", ""); got.status != http.StatusBadGateway {
+		t.Fatalf("lost: %+v", got)
+	}
+	for _, target := range d.plain {
+		target.SetFaults(edgeplatform.TargetFaults{OmitRequestID: true})
+	}
+	for n := range 4 {
+		id := fmt.Sprint("call-", n)
+		if got := d.call(daemon, http.MethodGet, "/read/1", id, "key-1", ""); got.status != http.StatusOK || len(d.runsOf(id)) != 1 {
+			t.Errorf("%s: %+v, runs %d", id, got, len(d.runsOf(id)))
+		}
+	}
+}
--- a/internal/gateway/ended.go
+++ b/internal/gateway/ended.go
@@ -117,8 +117,7 @@
 		g.recordIfRefused(target, err)
 		return err
 	}
-	g.options.Pool.Put(conn, 0)
-	return nil
+	return conn.Close() // a connection from the pool counts as one that has carried a request
 }
 
 // recordIfRefused records that a target has ended if its address refused a connection.
