Read a request that arrives after the server's deadline for its connection

What callers may see: a request that arrives at a stopping instance in the moment in which its connection is closed gets nothing, if the idle timeout of the connection has passed during the time to linger too.

Cause: a read whose deadline has passed is repeated if bytes have arrived, but under the server's own deadline. If that has passed, the second read fails as well, without the refusal.

Change: the repeated read has no deadline; the bytes are there. The server's deadline is set again after it, as before.

Result: TestRequestAfterServersDeadlineIsRead failed before ("read 0 bytes, ... i/o timeout") and passes.

--- a/internal/callerconn/refusal.go
+++ b/internal/callerconn/refusal.go
@@ -26,8 +26,9 @@
 		return false
 	}
 	if c.lingering && hasUnread(c.Conn) {
-		// A read whose deadline has passed does not look for bytes that have arrived meanwhile.
-		return c.Conn.SetReadDeadline(c.readDeadline) == nil
+		// A read whose deadline has passed does not look for bytes that have arrived meanwhile. The server's own deadline
+		// may have passed too.
+		return c.Conn.SetReadDeadline(time.Time{}) == nil
 	}
 	c.refused = !c.encrypted && c.listener.options.ClosingResponse != nil
 	return false
