Wait in TestRequestThatCrossesCloseIsRefused until the listener has finished

Cause: the test ended while Finish went on in the background, whose listener its cleanup closes before the queue is empty. Finish then waits for its whole limit and reports that after the end of the test.

Change: the test waits for Finish. Its checks are the same.

Result: go test -race -count=2 ./internal/callerconn failed in each of three runs ("panic: Log in goroutine after TestRequestThatCrossesCloseIsRefused/new_connection has completed: finish: context deadline exceeded"), and passed in two after it.

--- a/internal/callerconn/refusal_test.go
+++ b/internal/callerconn/refusal_test.go
@@ -71,8 +71,10 @@
 			if test.kept {
 				s.keep(c, "/kept")
 			}
+			var finishing sync.WaitGroup
+			defer finishing.Wait()
 			if test.idleTimeout == 0 {
-				go s.finish()
+				finishing.Go(s.finish)
 			}
 			reader := bufio.NewReader(c)
 			_, _ = reader.Peek(1) // returns once the server has closed the connection, which this caller has not noticed
