Let small bodies use the memory for bodies that is free

What callers may see: with a sixteenth of the memory for bodies in use by small ones (184 bodies of 64 KB in a process of 284 MB), further small bodies wait 0.5 s and are refused (overloaded), while the rest of the memory is free.

Cause: small bodies had memory of their own and no other.

Change: a small body that finds none of it takes memory for large bodies if some is free at once. It still never waits for a large one.

Result: TestSmallBodiesUseFreeMemory failed before ("with 65536 of 1048576 bytes in use: bodies of requests in progress use up the memory for them") and passes.

--- a/internal/gateway/requestbody.go
+++ b/internal/gateway/requestbody.go
@@ -70,11 +70,24 @@
 	waited time.Duration
 }
 
-// grow extends the reservation to size bytes, for which it waits until ctx ends.
+// grow extends the reservation to size bytes, for which it waits until ctx ends. Small bodies use memory for large ones only
+// if some is free at once.
 func (r *bodyReservation) grow(ctx context.Context, size int64) error {
-	if size <= smallBodyBytes {
-		return r.take(ctx, r.memory.small, &r.small, size)
+	if size > smallBodyBytes || r.large > 0 {
+		return r.growLarge(ctx, size)
 	}
+	if r.tryTake(r.memory.small, &r.small, size) {
+		return nil
+	}
+	if r.tryTake(r.memory.large, &r.large, size) {
+		r.memory.release(r.memory.small, &r.small)
+		return nil
+	}
+	return r.take(ctx, r.memory.small, &r.small, size)
+}
+
+// growLarge is grow with the memory for large bodies.
+func (r *bodyReservation) growLarge(ctx context.Context, size int64) error {
 	if err := r.take(ctx, r.memory.large, &r.large, size); err != nil {
 		return err
 	}
@@ -82,6 +95,17 @@
 	return nil
 }
 
+// tryTake is take without a wait.
+func (r *bodyReservation) tryTake(pool bodyPool, taken *int64, size int64) bool {
+	missing := size - *taken
+	if missing > 0 && !pool.free.TryAcquire(missing) {
+		return false
+	}
+	*taken = size
+	r.memory.used.Add(missing)
+	return true
+}
+
 // take extends what is taken from one of the pools to size bytes.
 func (r *bodyReservation) take(ctx context.Context, pool bodyPool, taken *int64, size int64) error {
 	missing := size - *taken
--- a/internal/gateway/requestbody_test.go
+++ b/internal/gateway/requestbody_test.go
@@ -11,9 +11,11 @@
 	memory := newRequestBodyMemory(smallBodyBytes / smallBodyRatio)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	first := bodyReservation{memory: memory}
-	if err := first.grow(ctx, smallBodyBytes); err != nil {
-		t.Fatal(err)
+	for _, size := range []int64{smallBodyBytes, memory.large.limit} {
+		first := bodyReservation{memory: memory}
+		if err := first.grow(ctx, size); err != nil {
+			t.Fatal(err)
+		}
 	}
 	go func() {
 		waiting := bodyReservation{memory: memory}
@@ -27,3 +29,27 @@
 		t.Errorf("empty body: %v", err)
 	}
 }
+
+// TestSmallBodiesUseFreeMemory guards against small bodies that are refused although most of the memory is free.
+func TestSmallBodiesUseFreeMemory(t *testing.T) {
+	const limit = 16 * smallBodyBytes
+	memory := newRequestBodyMemory(limit)
+	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+	defer cancel()
+	var bodies []*bodyReservation
+	for range limit / smallBodyBytes {
+		body := &bodyReservation{memory: memory}
+		for _, size := range []int64{smallBodyBytes / 2, smallBodyBytes} {
+			if err := body.grow(ctx, size); err != nil {
+				t.Fatalf("with %d of %d bytes in use: %v", memory.used.Load(), limit, err)
+			}
+		}
+		bodies = append(bodies, body)
+	}
+	for _, body := range bodies {
+		body.give()
+	}
+	if used := memory.used.Load(); used != 0 {
+		t.Errorf("%d bytes are in use after all have been returned", used)
+	}
+}
