--- a/internal/gateway/requestbody.go
+++ b/internal/gateway/requestbody.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"sync/atomic"
 	"time"
 
@@ -23,6 +24,9 @@
 	// little time waits for bodyMemoryShare of it, so that it can be served afterwards.
 	maxBodyMemoryWait = 500 * time.Millisecond
 	bodyMemoryShare   = 0.4
+	// minBodyTime is the least time for a body to arrive, so that a caller with little time left gets a refusal rather than a
+	// closed connection.
+	minBodyTime = 250 * time.Millisecond
 	// firstBodyBuffer is the size of the first buffer for a body of unknown length.
 	firstBodyBuffer = 4 << 10
 )
@@ -62,13 +66,28 @@
 type bodyReservation struct {
 	memory       *requestBodyMemory
 	small, large int64
+	// waited is the time that the request has waited for memory.
+	waited time.Duration
 }
 
-// grow extends the reservation to size bytes, for which it waits until ctx ends.
+// grow extends the reservation to size bytes, for which it waits until ctx ends. Small bodies use memory for large ones only
+// if some is free at once.
 func (r *bodyReservation) grow(ctx context.Context, size int64) error {
-	if size <= smallBodyBytes {
-		return r.take(ctx, r.memory.small, &r.small, size)
+	if size > smallBodyBytes || r.large > 0 {
+		return r.growLarge(ctx, size)
 	}
+	if r.tryTake(r.memory.small, &r.small, size) {
+		return nil
+	}
+	if r.tryTake(r.memory.large, &r.large, size) {
+		r.memory.release(r.memory.small, &r.small)
+		return nil
+	}
+	return r.take(ctx, r.memory.small, &r.small, size)
+}
+
+// growLarge is grow with the memory for large bodies.
+func (r *bodyReservation) growLarge(ctx context.Context, size int64) error {
 	if err := r.take(ctx, r.memory.large, &r.large, size); err != nil {
 		return err
 	}
@@ -76,9 +95,23 @@
 	return nil
 }
 
+// tryTake is take without a wait.
+func (r *bodyReservation) tryTake(pool bodyPool, taken *int64, size int64) bool {
+	missing := size - *taken
+	if missing > 0 && !pool.free.TryAcquire(missing) {
+		return false
+	}
+	*taken = size
+	r.memory.used.Add(missing)
+	return true
+}
+
 // take extends what is taken from one of the pools to size bytes.
 func (r *bodyReservation) take(ctx context.Context, pool bodyPool, taken *int64, size int64) error {
 	missing := size - *taken
+	if missing == 0 {
+		return nil
+	}
 	if size > pool.limit || pool.free.Acquire(ctx, missing) != nil {
 		return errNoBodyMemory
 	}
@@ -122,15 +155,57 @@
 	if errors.As(err, &tooLarge) {
 		return errkind.TooLarge, false
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		q.lastErr = err
+		return errkind.DeadlineInfeasible, false
+	}
 	return errkind.BadRequest, false
 }
 
+// limitBodyTime limits the time for the body to arrive to that of the caller. The memory for it is reserved before it arrives.
+func (q *request) limitBodyTime() {
+	if q.Request.ContentLength == 0 {
+		return
+	}
+	timeout := maxTimeout
+	if q.Timeout > 0 {
+		timeout = min(timeout, max(minBodyTime, q.Timeout))
+	}
+	q.setReadDeadline(q.arrivedAt.Add(timeout))
+}
+
+func (q *request) setReadDeadline(deadline time.Time) {
+	if err := http.NewResponseController(q.writer).SetReadDeadline(deadline); err != nil {
+		log.Debugf("no read deadline for request %s: %v", q.ID, err)
+	}
+}
+
+// timedBody is the body of a request with limitBodyTime. At its end it removes the limit, since the server goes on reading from
+// the connection to detect a disconnected caller.
+type timedBody struct {
+	io.Reader
+	request *request
+}
+
+// Read implements io.Reader.
+func (b timedBody) Read(p []byte) (int, error) {
+	n, err := b.Reader.Read(p)
+	if errors.Is(err, io.EOF) {
+		b.request.setReadDeadline(time.Time{})
+	}
+	return n, err
+}
+
 // limitedBody returns the body of the caller's request, of which at most limit bytes can be read unless limit is 0.
 func (q *request) limitedBody(limit int64) io.Reader {
-	if limit == 0 {
-		return q.Request.Body
+	body := q.Request.Body
+	if limit > 0 {
+		body = http.MaxBytesReader(q.writer, body, limit)
+	}
+	if q.Request.ContentLength == 0 {
+		return body
 	}
-	return http.MaxBytesReader(q.writer, q.Request.Body, limit)
+	return timedBody{Reader: body, request: q}
 }
 
 // discardBody reads the body of a request that is refused, so that the caller reads the refusal on an open connection.
@@ -141,13 +216,11 @@
 
 // readReserved reads a body into memory that it reserves first.
 func (q *request) readReserved(body io.Reader) ([]byte, error) {
-	ctx, cancel := context.WithTimeout(q.Request.Context(), q.bodyMemoryWait())
-	defer cancel()
 	length := q.Request.ContentLength
 	if length < 0 {
-		return q.readChunked(ctx, body)
+		return q.readChunked(body)
 	}
-	if err := q.body.grow(ctx, length); err != nil {
+	if err := q.growBody(length); err != nil {
 		return nil, err
 	}
 	content := make([]byte, length)
@@ -155,6 +228,16 @@
 	return content, err
 }
 
+// growBody extends the memory for the body to size bytes.
+func (q *request) growBody(size int64) error {
+	ctx, cancel := context.WithTimeout(q.Request.Context(), q.bodyMemoryWait()-q.body.waited)
+	defer cancel()
+	begunAt := time.Now()
+	err := q.body.grow(ctx, size)
+	q.body.waited += time.Since(begunAt)
+	return err
+}
+
 // bodyMemoryWait returns how long the request waits for memory for its body.
 func (q *request) bodyMemoryWait() time.Duration {
 	if q.Timeout == 0 {
@@ -164,12 +247,12 @@
 }
 
 // readChunked reads a body of unknown length into a buffer that grows with it.
-func (q *request) readChunked(ctx context.Context, body io.Reader) ([]byte, error) {
+func (q *request) readChunked(body io.Reader) ([]byte, error) {
 	var content []byte
 	for {
 		if len(content) == cap(content) {
 			size := max(firstBodyBuffer, 2*cap(content))
-			if err := q.body.grow(ctx, int64(size)); err != nil {
+			if err := q.growBody(int64(size)); err != nil {
 				return nil, err
 			}
 			content = append(make([]byte, 0, size), content...)
