Close idle connections of callers after the configured time

Cause: the limit was decoded and not used; the server has one fixed idle timeout.

Change: callerconn shortens the deadline that the server gives to an idle connection to the limit of the configuration in force. Callers reuse connections for four fifths of it; a request that still crosses the close gets the 408.

--- a/internal/callerconn/callerconn.go
+++ b/internal/callerconn/callerconn.go
@@ -43,6 +43,9 @@
 type Options struct {
 	// OnUnanswered, if set, is called for each connection that is closed without an answer.
 	OnUnanswered func(Unanswered)
+	// IdleTimeout, if set, returns how long a connection stays open between two requests if that is shorter than the
+	// server's own timeout; 0 for no limit.
+	IdleTimeout func() time.Duration
 	// ClosingResponse, if set, returns the response that is written to a connection without a request before it is
 	// closed after a timeout. It must say that a request which is on its way has not run and will not run. It is not
 	// written to TLS connections.
@@ -51,6 +54,18 @@
 	OnCrossed func(Crossed)
 }
 
+// idleDeadline returns the deadline of a connection that becomes idle, to which the server gives the given one.
+func (o *Options) idleDeadline(deadline time.Time) time.Time {
+	if o.IdleTimeout == nil {
+		return deadline
+	}
+	timeout := o.IdleTimeout()
+	if own := time.Now().Add(timeout); timeout > 0 && own.Before(deadline) {
+		return own
+	}
+	return deadline
+}
+
 // Listener accepts connections and tracks them. It is safe for concurrent use.
 type Listener struct {
 	*net.TCPListener
@@ -126,6 +141,7 @@
 	defer tracked.mu.Unlock()
 	tracked.encrypted = encrypted
 	tracked.handling = state == http.StateActive
+	tracked.becomesIdle = state == http.StateIdle
 }
 
 // Finish stops accepting connections and closes those that carry no request, each once nothing has arrived on it for
@@ -199,8 +215,9 @@
 	encrypted bool
 	// refused reports whether the connection ends with Options.ClosingResponse.
 	refused bool
-	// handling reports whether the server handles a request.
-	handling bool
+	// handling reports whether the server handles a request, becomesIdle whether the next deadline that it sets is that
+	// of an idle connection.
+	handling, becomesIdle bool
 	// received counts the bytes read since the last write; firstAt is when the first of them was read.
 	received int64
 	firstAt  time.Time
@@ -230,6 +247,10 @@
 func (c *conn) SetReadDeadline(deadline time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.becomesIdle {
+		deadline = c.listener.options.idleDeadline(deadline)
+		c.becomesIdle = false
+	}
 	c.readDeadline = deadline
 	if c.lingering && !c.carriesRequest() {
 		deadline = time.Now().Add(c.lingerTime)
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -37,8 +37,8 @@
 )
 
 const (
-	// headerTimeout and idleTimeout limit a caller's connection. Callers reuse connections that have been idle for most
-	// of the idle timeout in the configuration (routing.Limits), so idleTimeout is greater than all such timeouts.
+	// headerTimeout and idleTimeout limit a caller's connection. The idle timeout in the configuration (routing.Limits)
+	// limits it further: callers reuse connections that have been idle for most of that time.
 	headerTimeout  = 10 * time.Second
 	idleTimeout    = 90 * time.Second
 	maxHeaderBytes = 64 << 10
--- a/internal/edge/kept_test.go
+++ b/internal/edge/kept_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"io"
 	"net/http"
 	"strings"
 	"testing"
@@ -80,3 +81,29 @@
 	}
 	d.checkWholeStream(<-got)
 }
+
+// TestIdleConnectionsAreClosedInTime guards against idle connections that use up the descriptors of an instance.
+func TestIdleConnectionsAreClosedInTime(t *testing.T) {
+	t.Parallel()
+	d := newDeployment(t)
+	daemon := d.addDaemon("a")
+	caller := dialCaller(t, daemon)
+	caller.write(posting("first"))
+	status, err := caller.answer()
+	d.checkAnswered(t, "first", status, err)
+	idleTimeout := daemon.gateway.Configuration().Limits.IdleTimeout
+	time.Sleep(idleTimeout * 4 / 5)
+	caller.write(posting("second"))
+	status, err = caller.answer()
+	d.checkAnswered(t, "second", status, err)
+	idleSince := time.Now()
+	if err := caller.SetReadDeadline(idleSince.Add(waitLimit)); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.Copy(io.Discard, caller.reader); err != nil {
+		t.Fatal(err)
+	}
+	if idle := time.Since(idleSince); idle < idleTimeout || idle > idleTimeout+time.Second {
+		t.Errorf("closed after %v without a request, the idle timeout is %v", idle, idleTimeout)
+	}
+}
--- a/internal/edge/stop.go
+++ b/internal/edge/stop.go
@@ -26,6 +26,7 @@
 	}
 	d.callers = callerconn.Track(listener.(*net.TCPListener), callerconn.Options{
 		OnUnanswered:    d.recordUnanswered,
+		IdleTimeout:     d.idleTimeout,
 		ClosingResponse: func() []byte { return platform.Codec{}.ClosingResponse(time.Now()) },
 		OnCrossed:       d.recordCrossed,
 	})
@@ -34,6 +35,15 @@
 	return nil
 }
 
+// idleTimeout returns how long callers may leave a connection idle, or 0 if the configuration does not say.
+func (d *Daemon) idleTimeout() time.Duration {
+	configuration := d.gateway.Configuration()
+	if configuration == nil {
+		return 0
+	}
+	return configuration.Limits.IdleTimeout
+}
+
 // recordUnanswered records that the connection of a caller was closed without an answer to what it had sent.
 func (d *Daemon) recordUnanswered(u callerconn.Unanswered) {
 	d.metrics.UnansweredConnections.Inc()
