--- a/internal/edge/answertime_test.go
+++ b/internal/edge/answertime_test.go
@@ -37,6 +37,10 @@
 	t.Parallel()
 	const limit = 600 * time.Millisecond
 	hang := edgeplatform.TargetFaults{Hang: true}
+	refuse := edgeplatform.TargetFaults{Refuse: true}
+	silentInBody := edgeplatform.TargetFaults{SilentInBody: 2 * limit}
+	slowStart := edgeplatform.TargetFaults{FirstEventDelay: 2 * limit}
+	verySlowStart := edgeplatform.TargetFaults{FirstEventDelay: 4 * time.Second}
 	for name, test := range map[string]struct {
 		path    string
 		limit   time.Duration
@@ -46,17 +50,17 @@
 	}{
 		"lookup, silent targets":    {path: "/read/1", limit: limit, faults: hang, want: http.StatusGatewayTimeout},
 		"lookup, slow targets":      {path: "/read/1", limit: limit, latency: 2 * limit, want: http.StatusGatewayTimeout},
-		"lookup, silent in a body":  {path: "/read/1", limit: limit, faults: edgeplatform.TargetFaults{SilentInBody: 2 * limit}, want: http.StatusGatewayTimeout},
+		"lookup, silent in a body":  {path: "/read/1", limit: limit, faults: silentInBody, want: http.StatusGatewayTimeout},
 		"lookup, 20 ms left":        {path: "/read/1", limit: 20 * time.Millisecond, want: http.StatusServiceUnavailable},
 		"lookup, 60 ms left":        {path: "/read/1", limit: 60 * time.Millisecond, faults: hang, want: http.StatusGatewayTimeout},
 		"posting, silent targets":   {path: "/post/1", limit: limit, faults: hang, want: http.StatusGatewayTimeout},
 		"posting, slow targets":     {path: "/post/1", limit: limit, latency: 2 * limit, want: http.StatusGatewayTimeout},
 		"posting, 20 ms left":       {path: "/post/1", limit: 20 * time.Millisecond, want: http.StatusServiceUnavailable},
 		"stream, silent engines":    {path: "/gen/1", limit: limit, faults: hang, want: http.StatusGatewayTimeout},
-		"stream, slow engines":      {path: "/gen/1", limit: limit, faults: edgeplatform.TargetFaults{FirstEventDelay: 2 * limit}, want: http.StatusGatewayTimeout},
-		"stream, engines refuse":    {path: "/gen/1", limit: limit, faults: edgeplatform.TargetFaults{Refuse: true}, want: http.StatusServiceUnavailable},
+		"stream, slow engines":      {path: "/gen/1", limit: limit, faults: slowStart, want: http.StatusGatewayTimeout},
+		"stream, engines refuse":    {path: "/gen/1", limit: limit, faults: refuse, want: http.StatusServiceUnavailable},
 		"stream, 20 ms left":        {path: "/gen/1", limit: 20 * time.Millisecond, want: http.StatusServiceUnavailable},
-		"stream of 3 s, not begun":  {path: "/gen/1", limit: 3 * time.Second, faults: edgeplatform.TargetFaults{FirstEventDelay: 4 * time.Second}, want: http.StatusGatewayTimeout},
+		"stream of 3 s, not begun":  {path: "/gen/1", limit: 3 * time.Second, faults: verySlowStart, want: http.StatusGatewayTimeout},
 		"lookup of 3 s, not served": {path: "/read/1", limit: 3 * time.Second, faults: hang, want: http.StatusGatewayTimeout},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/gateway/ended.go
+++ b/internal/gateway/ended.go
@@ -52,12 +52,11 @@
 	q.countsEnded = countsEnded
 }
 
-// runState reports whether the process of a target is known to have ended, and how many targets of the request count towards
-// the route's maximum.
-func (q *request) runState(target fleet.Target) (ended bool, counted int) {
-	q.gateway.mu.Lock()
-	defer q.gateway.mu.Unlock()
-	return q.gateway.dispatcher.Fleet.Ended(target), q.counted(&q.ran)
+// targetEnded reports whether the process of a target is known to have ended.
+func (g *Gateway) targetEnded(target fleet.Target) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.dispatcher.Fleet.Ended(target)
 }
 
 // runCounts returns the number of targets on which the request may have run, and of those that count.
--- a/internal/gateway/ended_test.go
+++ b/internal/gateway/ended_test.go
@@ -63,8 +63,8 @@
 			if test.wantEnded {
 				wantCounted = 1
 			}
-			if ended, counted := s.runState(first); ended != test.wantEnded || counted != wantCounted {
-				t.Errorf("ended %v, %d count, want %v and %d", ended, counted, test.wantEnded, wantCounted)
+			if ended := g.targetEnded(first); ended != test.wantEnded {
+				t.Errorf("ended %v, want %v", ended, test.wantEnded)
 			}
 			if ran, counted := s.runCounts(); ran != 2 || counted != wantCounted || s.runs != 2 {
 				t.Errorf("ran on %d, %d count, %d runs, want 2, %d and 2", ran, counted, s.runs, wantCounted)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -179,7 +179,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for q := range g.requests {
-		q.expire()
+		q.expireAttempts()
 	}
 }
 
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -407,7 +407,7 @@
 	if s.headWritten.Load() {
 		return nil
 	}
-	if !s.begin() {
+	if !s.beginStream() {
 		return errTimedOut
 	}
 	s.headWritten.Store(true)
@@ -447,7 +447,8 @@
 		s.recordFault("", err.Error())
 	}
 	resume := s.mayResume(ctx)
-	ended, counted := s.runState(s.currentPath().Stages[0].Target)
+	ended := s.gateway.targetEnded(s.currentPath().Stages[0].Target)
+	_, counted := s.runCounts()
 	log.Event("stream interrupted", "request", s.ID, "events", s.events, "lastEvent", s.lastEventID,
 		"idleMs", s.idle().Milliseconds(), "cancelled", s.watchdog.hasCancelled(),
 		"path", formatPath(s.currentPath()), "reason", s.lastErr.Error(), "resume", resume,
--- a/internal/gateway/timeout.go
+++ b/internal/gateway/timeout.go
@@ -32,18 +32,18 @@
 		q.timer.Reset(left)
 		return
 	}
-	q.expire()
+	q.expireAttempts()
 }
 
-// expire cancels the attempts of the request because its time has passed. The caller holds gateway.mu.
-func (q *request) expire() {
+// expireAttempts cancels the attempts of the request because its time has passed. The caller holds gateway.mu.
+func (q *request) expireAttempts() {
 	q.expired = true
 	q.cancel(context.DeadlineExceeded)
 }
 
-// begin gives a stream whose first event has arrived the whole time of its caller. It returns false if the request has timed
+// beginStream gives a stream whose first event has arrived the whole time of its caller. It returns false if the request has timed
 // out, so that its caller gets either a response that says so in time, or a stream that goes on.
-func (q *request) begin() bool {
+func (q *request) beginStream() bool {
 	q.gateway.mu.Lock()
 	defer q.gateway.mu.Unlock()
 	if q.expired || time.Until(q.deadline) <= 0 {
--- a/internal/gateway/timeout_test.go
+++ b/internal/gateway/timeout_test.go
@@ -26,7 +26,7 @@
 	for n := range 200 {
 		q, ctx := newTimedRequest(t, timeout, time.Hour)
 		time.Sleep(time.Until(q.arrivedAt.Add(timeout + time.Duration(n-100)*10*time.Microsecond)))
-		begun := q.begin()
+		begun := q.beginStream()
 		if begun {
 			time.Sleep(100 * time.Microsecond)
 		} else {
@@ -43,7 +43,7 @@
 func TestBegunStreamEndsAtLimit(t *testing.T) {
 	const timeout, limit = 500 * time.Millisecond, 700 * time.Millisecond
 	q, ctx := newTimedRequest(t, timeout, limit)
-	if !q.begin() {
+	if !q.beginStream() {
 		t.Fatal("stream has not begun")
 	}
 	<-ctx.Done()
@@ -56,7 +56,7 @@
 func TestStopEndsUnbegunStream(t *testing.T) {
 	q, ctx := newTimedRequest(t, time.Hour, time.Hour)
 	q.gateway.CancelRequests()
-	if q.begin() || ctx.Err() == nil {
+	if q.beginStream() || ctx.Err() == nil {
 		t.Error("stream has begun after its end")
 	}
 }
@@ -67,7 +67,7 @@
 	const timeout, left = 20 * time.Second, 200 * time.Millisecond
 	for _, begun := range []bool{false, true} {
 		q, ctx := newTimedRequest(t, timeout, timeout)
-		if begun && !q.begin() {
+		if begun && !q.beginStream() {
 			t.Fatal("stream has not begun")
 		}
 		q.gateway.HandleSuspension(timeout - left)
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -397,7 +397,7 @@
 }
 
 // sendOrder reads the engine's report and sends the order, unless the report contradicts the engine's entry or shows that
-// the order would cut requests that it has to spare. An engine that asked to get no requests gets neither.
+// the order would cut requests although it must not. An engine that asked to get no requests gets neither.
 func (p *Placer) sendOrder(ctx context.Context, order placement.Order, target fleet.Target, fencing uint64) {
 	if p.backsOff(target.ID) {
 		return
