Close idle connections only after twice the configured time

Cause: connections were closed at the idle timeout of the configuration at hand when they became idle. A storm changes that timeout; callers that go by another version of it reuse connections for longer.

Change: an instance waits for twice the timeout, at most 90 s as before.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -38,7 +38,7 @@
 
 const (
 	// headerTimeout and idleTimeout limit a caller's connection. The idle timeout in the configuration (routing.Limits)
-	// limits it further: callers reuse connections that have been idle for most of that time.
+	// limits it further, see idleTimeoutFactor: callers reuse connections that have been idle for most of that time.
 	headerTimeout  = 10 * time.Second
 	idleTimeout    = 90 * time.Second
 	maxHeaderBytes = 64 << 10
--- a/internal/edge/stop.go
+++ b/internal/edge/stop.go
@@ -16,6 +16,9 @@
 	stopMargin = 400 * time.Millisecond
 	// answerMargin is the part of stopMargin in which the callers of cancelled requests get an answer.
 	answerMargin = 150 * time.Millisecond
+	// idleTimeoutFactor multiplies the idle timeout in the configuration: callers may go by an earlier or later configuration,
+	// and a request that crosses the close of its connection has to be sent again.
+	idleTimeoutFactor = 2
 )
 
 // listenForCallers is like listen, but tracks the connections, so that the daemon can stop without dropping requests.
@@ -35,13 +38,13 @@
 	return nil
 }
 
-// idleTimeout returns how long callers may leave a connection idle, or 0 if the configuration does not say.
+// idleTimeout returns how long connections of callers may stay idle, or 0 if the configuration does not say.
 func (d *Daemon) idleTimeout() time.Duration {
 	configuration := d.gateway.Configuration()
 	if configuration == nil {
 		return 0
 	}
-	return configuration.Limits.IdleTimeout
+	return idleTimeoutFactor * configuration.Limits.IdleTimeout
 }
 
 // recordUnanswered records that the connection of a caller was closed without an answer to what it had sent.
