Name the target of a held response in plain calls

Cause: reading the diff as a newcomer: the field failed and its comment did not say which of two targets it names.

Change: fallbackFrom, and a comment for the timer and the time that was left.

--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -44,10 +44,10 @@
 	secondAttempt *time.Timer
 	// newConn requests new connections for further attempts.
 	newConn bool
-	// fallback is the response to forward if no attempt has a better one, failed the target that has sent it. It is forwarded
-	// at the end of holdTimer.
+	// fallback is the response of a target that has failed the call, forwarded if no attempt has a better one; fallbackFrom is
+	// that target. holdTimer ends the wait for a better one, timeLeftWhenHeld is the time that was left at its start.
 	fallback         *bufferedResponse
-	failed           entity.TargetID
+	fallbackFrom     entity.TargetID
 	timeLeftWhenHeld time.Duration
 	holdTimer        *time.Timer
 	// refusal is the kind of the refusal if no target can have run the call.
@@ -104,7 +104,7 @@
 				c.holdTimer.Reset(held.Wait())
 				continue
 			}
-			if c.latest != c.failed {
+			if c.latest != c.fallbackFrom {
 				c.suspectLatest()
 			}
 			return c.fallback
@@ -132,7 +132,7 @@
 // hold keeps the response of a target that has failed the call as the fallback. A further one is held for no longer than the
 // first one.
 func (c *bufferedCall) hold(response *bufferedResponse, from entity.TargetID) {
-	c.fallback, c.failed = response, from
+	c.fallback, c.fallbackFrom = response, from
 	if c.heldSince.IsZero() {
 		c.heldSince, c.timeLeftWhenHeld = time.Now(), c.timeLeft()
 		c.holdTimer.Reset(c.heldResponse().Wait())
