Announce the whole body in the test of callers without a key

Cause: TestUnauthorizedBodyIsNotHeld replaced a Content-Length that the posting does not have, so that it announced 8 bytes and guarded nothing; the test of stalled bodies builds the same head beside it (found when reading the whole change once more).

--- a/internal/edge/requestbody_test.go
+++ b/internal/edge/requestbody_test.go
@@ -58,6 +58,11 @@
 	return response.StatusCode, err
 }
 
+// largePosting returns the head of a posting with a body of largeBodyBytes and the first bytes of that body.
+func largePosting(id string) string {
+	return strings.Replace(posting(id), "Content-Length: 8", fmt.Sprint("Content-Length: ", largeBodyBytes), 1)
+}
+
 // TestRequestBodiesTogetherStayWithinMemory guards against bodies that are each allowed and together end the process.
 func TestRequestBodiesTogetherStayWithinMemory(t *testing.T) {
 	t.Parallel()
@@ -113,14 +118,12 @@
 	d := newDeployment(t)
 	daemon := d.addSmallDaemon()
 	caller := dialCaller(t, daemon)
-	head := strings.Replace(posting("unauthorized"), "key-1", "key-0", 1)
-	head = strings.Replace(head, "Content-Length: 1", fmt.Sprint("Content-Length: ", largeBodyBytes), 1)
-	caller.write(head)
+	caller.write(strings.Replace(largePosting("unauthorized"), "key-1", "key-0", 1))
 	time.Sleep(100 * time.Millisecond)
 	if used := daemon.gateway.RequestBodyMemoryUsed(); used > 0 {
 		t.Errorf("%d bytes are reserved for the body of a caller without a key", used)
 	}
-	caller.write(strings.Repeat("x", largeBodyBytes-1))
+	caller.write(strings.Repeat("x", largeBodyBytes-len("amount=3")))
 	if status, err := caller.answer(); status != http.StatusUnauthorized || err != nil {
 		t.Errorf("status %d, %v", status, err)
 	}
@@ -181,8 +184,7 @@
 	d := newDeployment(t)
 	daemon := d.addSmallDaemon()
 	caller := dialCaller(t, daemon)
-	head := strings.Replace(posting("stalled"), "Content-Length: 8", fmt.Sprint("Content-Length: ", largeBodyBytes), 1)
-	caller.write(head)
+	caller.write(largePosting("stalled"))
 	d.waitUntil("the memory is reserved", func() bool { return daemon.gateway.RequestBodyMemoryUsed() > 0 })
 	const limit = time.Second // of the caller
 	time.Sleep(limit + 500*time.Millisecond)
