Log which targets of a served request do not count

Cause: the line `request ended` of a request with a complete response did not say how many of its targets count towards maxAttempts. Change: the line has ran and counted whenever they differ. Result: go vet and the tests of internal/gateway that concern the count pass; no logic changes.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -474,11 +474,14 @@
 		"firstMs", stats.firstEvent.Milliseconds(), "pauseMs", stats.longestPause.Milliseconds(),
 		"targets", strings.Join(q.attemptedTargets, ";"), "reason", reason,
 	}
+	if result != resultOK || counted < ran {
+		fields = append(fields, "ran", ran, "counted", counted)
+	}
 	if result == resultOK {
 		log.Routine("request ended", fields...)
 	} else {
 		fields = append(fields, "idleMs", stats.idle.Milliseconds(), "gaveUp", string(stats.gaveUp),
-			"parts", strings.Join(q.PromptParts, ","), "ran", ran, "counted", counted)
+			"parts", strings.Join(q.PromptParts, ","))
 		if q.refusal != nil {
 			fields = append(fields, "rank", q.refusal.rank, "ranks", q.refusal.ranks,
 				"retryAfterMs", q.retryAfterSent.Milliseconds(), "shortageMs", q.refusal.shortage.Milliseconds())
