--- a/internal/connpool/connpool.go
+++ b/internal/connpool/connpool.go
@@ -83,6 +83,8 @@
 // Pool keeps idle connections by address. It is safe for concurrent use.
 type Pool struct {
 	dialer net.Dialer
+	// Dial, if set, opens connections in place of net.Dialer.DialContext. Set it before the first Get.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// OnDial, if set, is called for each opened connection.
 	OnDial func()
 
@@ -145,17 +147,26 @@
 // dial opens a connection. A timeout that is noticed late comes from a pause of this process, not from the target, so the
 // dial is repeated once.
 func (p *Pool) dial(ctx context.Context, address string, timeout time.Duration) (net.Conn, error) {
-	dialer := p.dialer
-	dialer.Timeout = timeout
 	begun := time.Now()
-	conn, err := dialer.DialContext(ctx, "tcp", address)
+	conn, err := p.dialWithin(ctx, address, timeout)
 	var netErr net.Error
 	if errors.As(err, &netErr) && netErr.Timeout() && ctx.Err() == nil && time.Since(begun) > timeout+lateTimeout {
-		return dialer.DialContext(ctx, "tcp", address)
+		return p.dialWithin(ctx, address, timeout)
 	}
 	return conn, err
 }
 
+func (p *Pool) dialWithin(ctx context.Context, address string, timeout time.Duration) (net.Conn, error) {
+	if p.Dial != nil {
+		ctx, cancel := context.WithTimeout(ctx, timeout)
+		defer cancel()
+		return p.Dial(ctx, "tcp", address)
+	}
+	dialer := p.dialer
+	dialer.Timeout = timeout
+	return dialer.DialContext(ctx, "tcp", address)
+}
+
 func (p *Pool) popIdle(address string) *Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/edge/deployment_test.go
+++ b/internal/edge/deployment_test.go
@@ -110,11 +110,11 @@
 	}
 }
 
-// startDaemon starts a daemon, which the test stops at its end unless it has stopped it before.
-func (d *deployment) startDaemon(s *settings.Edge) *Daemon {
+// startDaemon starts a daemon, which the test stops at its end unless it has stopped it before. Options replace parts of it.
+func (d *deployment) startDaemon(s *settings.Edge, options ...fx.Option) *Daemon {
 	d.t.Helper()
 	var daemon *Daemon
-	app := fx.New(Module, fx.Supply(s), fx.Populate(&daemon),
+	app := fx.New(Module, fx.Supply(s), fx.Populate(&daemon), fx.Options(options...),
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }))
 	if err := app.Start(context.Background()); err != nil {
 		d.t.Fatal(err)
