Do not take refused connections for the end of a target

Cause: each refused connection recorded its target as ended, for a minute, and runs at ended targets do not count towards maxAttempts. While a partition refuses connections, an instance recorded every target behind it, and went on to count none of them after the partition, also when they answered in full. Change: a refused connection is only a reason to check. A target has ended if it refuses a connection again after another target of its zone has accepted one; a partition refuses that one too. A later process under its id, and not an earlier one, shows it as well. A target that answers has not ended. A run with a complete response always counts. Reset reports no longer show to the watchdog that an engine has ended. TestWhichRunsCount let all engines refuse connections and expected that one counts as ended, which is this fault. It now has that case with the opposite result, and the old one with a zone that is reachable.

--- a/core/dispatch/runs.go
+++ b/core/dispatch/runs.go
@@ -9,7 +9,7 @@
 // Runs holds the targets on which a request may have run; for a generation, the first engines of its paths.
 type Runs struct{ runs []run }
 
-// run is the latest run on one process of a target. responded reports whether it has ended with a complete response.
+// run is a run on one process of a target, or several. responded reports whether one has ended with a complete response.
 type run struct {
 	target    fleet.Target
 	responded bool
@@ -18,7 +18,7 @@
 // Add records a run on a target, and whether it has ended with a complete response.
 func (r *Runs) Add(target fleet.Target, responded bool) {
 	if i := r.index(target); i >= 0 {
-		r.runs[i].responded = responded
+		r.runs[i].responded = r.runs[i].responded || responded
 		return
 	}
 	r.runs = append(r.runs, run{target: target, responded: responded})
@@ -37,10 +37,10 @@
 func (r *Runs) Len() int { return len(r.runs) }
 
 // Counted returns the number of targets that count towards the limit on the targets of one request: those on which it may
-// have run, each once, without the processes that are known to have ended.
+// have run, each once, without the processes that are known to have ended before a complete response.
 func (r *Runs) Counted(f *fleet.Fleet) (counted int) {
 	for _, run := range r.runs {
-		if !f.Ended(run.target) {
+		if run.responded || !f.Ended(run.target) {
 			counted++
 		}
 	}
--- a/core/dispatch/runs_test.go
+++ b/core/dispatch/runs_test.go
@@ -49,6 +49,20 @@
 	}
 }
 
+// TestCompleteResponseCounts guards against a further target for a request whose first one has run it in full and then ended, also
+// if a later run there broke off.
+func TestCompleteResponseCounts(t *testing.T) {
+	f := fleet.New()
+	var runs Runs
+	target := fleet.Target{ID: "a", Born: 1}
+	runs.Add(target, true)
+	runs.Add(target, false)
+	f.RecordEnded(start, "a", 1)
+	if counted := runs.Counted(f); counted != 1 {
+		t.Errorf("%d targets count, want 1", counted)
+	}
+}
+
 // TestUnconfirmedRuns guards against targets that are asked whether they have ended although they have responded or are known
 // to have ended, and against a further run on the same target that counts.
 func TestUnconfirmedRuns(t *testing.T) {
--- a/core/fleet/ended_test.go
+++ b/core/fleet/ended_test.go
@@ -1,8 +1,11 @@
 package fleet
 
 import (
+	"slices"
 	"testing"
 	"time"
+
+	"github.com/hyssophoist/hyssophoist/core/entity"
 )
 
 // TestEnded guards against a process that counts as ended because it is silent or no longer listed, and against one that
@@ -30,6 +33,7 @@
 			f.RecordEnded(now, "e", 5)
 			f.RecordReport(now, "e", Report{Born: 5})
 		}, false},
+		{"answered a request afterwards", func(f *Fleet) { f.RecordEnded(now, "e", 5); f.RecordAnswer(first) }, false},
 		{"report of a later process", func(f *Fleet) {
 			f.RecordEnded(now, "e", 5)
 			f.RecordReport(now, "e", Report{Born: 9})
@@ -51,3 +55,25 @@
 		t.Error("the end of a process is remembered for ever")
 	}
 }
+
+// TestWitnesses guards against a partition of the zone that is not noticed because a target is its own witness, or because the
+// witnesses are in another zone, suspected or draining.
+func TestWitnesses(t *testing.T) {
+	now := time.Unix(1000, 0)
+	f := New()
+	for _, target := range []Target{
+		{ID: "a", Address: "a", Zone: "x"}, {ID: "other zone", Address: "b", Zone: "y"}, {ID: "c", Address: "c", Zone: "x"},
+		{ID: "same address", Address: "c", Zone: "x"}, {ID: "suspected", Address: "d", Zone: "x"},
+		{ID: "draining", Address: "e", Zone: "x", Draining: true}, {ID: "f", Address: "f", Zone: "x"},
+	} {
+		f.Put(target)
+	}
+	f.RecordFailure(now, "suspected")
+	for _, limit := range []int{1, 2, 3} {
+		got := f.Witnesses(now, f.Get("c").Target, limit)
+		want := []entity.TargetID{"f", "a"}[:min(limit, 2)]
+		if !slices.EqualFunc(got, want, func(t Target, id entity.TargetID) bool { return t.ID == id }) {
+			t.Errorf("limit %d: witnesses %+v, want %v", limit, got, want)
+		}
+	}
+}
--- a/internal/gateway/backoff.go
+++ b/internal/gateway/backoff.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"time"
 
 	"github.com/hyssophoist/hyssophoist/core/entity"
@@ -34,6 +35,9 @@
 	if head.RetryAfterMalformed {
 		log.Event("retry delay of target not understood", "target", target.ID, "request", attempt.Call.ID)
 	}
+	if head.Status != http.StatusMisdirectedRequest { // comes from another target with the same address
+		g.WithFleet(func(f *fleet.Fleet) { f.RecordAnswer(target) })
+	}
 	if head.RetryAfter > 0 {
 		g.recordBackoff(target, head.RetryAfter)
 		return
--- a/internal/gateway/ended.go
+++ b/internal/gateway/ended.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"sync"
 	"syscall"
 	"time"
 
 	"github.com/hyssophoist/hyssophoist/core/dispatch"
+	"github.com/hyssophoist/hyssophoist/core/entity"
 	"github.com/hyssophoist/hyssophoist/core/fleet"
 	"github.com/hyssophoist/hyssophoist/internal/boottime"
 )
@@ -17,6 +19,10 @@
 	// that it takes. An address without a process refuses connections at once.
 	endedCheckTimeout = 100 * time.Millisecond
 	endedCheckShare   = 0.25
+	// endedCheckInterval is the minimum time between two checks whether a target that refuses connections has ended.
+	endedCheckInterval = 500 * time.Millisecond
+	// maxWitnesses is the number of other targets to which a check connects: one may be about to end itself.
+	maxWitnesses = 2
 	// maxEndedTargets is the maximum number of targets that have ended and need not count towards the route's maximum before
 	// the caller has got a part of the response.
 	maxEndedTargets = 1
@@ -105,25 +111,76 @@
 	return finished
 }
 
-// contact reads the report of an engine, or connects to a target of a plain service.
+// contact reads the report of an engine, or connects to a target of a plain service, and records whether it has ended.
 func (g *Gateway) contact(ctx context.Context, target fleet.Target, since time.Time) error {
+	var err error
 	if target.Card != "" {
-		_, err := g.inspector.inspectSince(ctx, target, since)
-		return err
+		_, err = g.inspector.inspectSince(ctx, target, since)
+	} else {
+		err = g.connect(ctx, target)
 	}
+	g.confirmIfRefused(ctx, target, err)
+	return err
+}
+
+// connect opens a new connection to a target and closes it. An open one may live on while a partition refuses new ones.
+func (g *Gateway) connect(ctx context.Context, target fleet.Target) error {
 	conn, err := g.options.Pool.Get(ctx, target.Address, true, endedCheckTimeout)
 	if err != nil {
-		g.recordIfRefused(target, err)
 		return err
 	}
 	return conn.Close() // a connection from the pool counts as one that has carried a request
 }
 
-// recordIfRefused records that a target has ended if its address refused a connection.
-func (g *Gateway) recordIfRefused(target fleet.Target, err error) {
-	if errors.Is(err, syscall.ECONNREFUSED) {
-		g.recordEnded(target, err.Error())
+// confirmIfRefused checks whether a target has ended whose address has refused a connection with the given error, and records
+// it. A partition can refuse connections too. So the target has ended only if it refuses another connection after another
+// target of its zone has accepted one. Concurrent checks of a target are one, and it is not repeated within endedCheckInterval.
+func (g *Gateway) confirmIfRefused(ctx context.Context, target fleet.Target, err error) {
+	if !errors.Is(err, syscall.ECONNREFUSED) || g.targetEnded(target) {
+		return
+	}
+	_, _, _ = g.endedChecks.Do(string(target.ID), func() (any, error) {
+		if !g.beginEndedCheck(target.ID, time.Now()) {
+			return nil, nil
+		}
+		if !g.reachesZone(ctx, target) {
+			log.Debugf("target %s refuses connections, and so does its zone", target.ID)
+			return nil, nil
+		}
+		if err := g.connect(ctx, target); errors.Is(err, syscall.ECONNREFUSED) {
+			g.recordEnded(target, err.Error())
+		}
+		return nil, nil
+	})
+}
+
+// beginEndedCheck reports whether to check again whether a target has ended.
+func (g *Gateway) beginEndedCheck(id entity.TargetID, now time.Time) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	maps.DeleteFunc(g.endedChecksAt, func(_ entity.TargetID, at time.Time) bool { return now.Sub(at) >= endedCheckInterval })
+	if _, recent := g.endedChecksAt[id]; recent {
+		return false
 	}
+	g.endedChecksAt[id] = now
+	return true
+}
+
+// reachesZone reports whether another target in the zone of a target accepts a new connection of this instance.
+func (g *Gateway) reachesZone(ctx context.Context, target fleet.Target) bool {
+	g.mu.Lock()
+	witnesses := g.dispatcher.Fleet.Witnesses(boottime.Now(), target, maxWitnesses)
+	g.mu.Unlock()
+	results := make(chan error, len(witnesses))
+	for _, witness := range witnesses {
+		go func() { results <- g.connect(ctx, witness) }()
+	}
+	for range witnesses {
+		if err := <-results; err == nil {
+			return true
+		}
+	}
+	return false
 }
 
 // recordEnded records that the process of a target has ended.
@@ -140,3 +197,9 @@
 func (r reportResult) isOfOther(target fleet.Target) bool {
 	return r.err == nil && r.report.Born != 0 && r.report.Born != target.Born
 }
+
+// isOfLater reports whether the report is that of a later process of the engine, so that this one has ended. A target whose
+// entry does not tell its start can have written the report itself.
+func (r reportResult) isOfLater(target fleet.Target) bool {
+	return r.isOfOther(target) && target.Born != 0 && r.report.Born > target.Born
+}
--- a/internal/gateway/ended_test.go
+++ b/internal/gateway/ended_test.go
@@ -5,6 +5,8 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
+	"slices"
 	"syscall"
 	"testing"
 	"time"
@@ -12,6 +14,7 @@
 	"github.com/hyssophoist/hyssophoist/core/entity"
 	"github.com/hyssophoist/hyssophoist/core/fleet"
 	"github.com/hyssophoist/hyssophoist/core/routing"
+	"github.com/hyssophoist/hyssophoist/internal/connpool"
 )
 
 // queriedEngines answers each query for a report as given.
@@ -25,6 +28,19 @@
 	return e.report, e.err
 }
 
+// refusingDials returns a pool whose connections to the given addresses are refused; others are accepted.
+func refusingDials(refused ...string) *connpool.Pool {
+	pool := connpool.New()
+	pool.Dial = func(_ context.Context, _, address string) (net.Conn, error) {
+		if slices.Contains(refused, address) {
+			return nil, fmt.Errorf("dial: %w", syscall.ECONNREFUSED)
+		}
+		conn, other := net.Pipe()
+		return conn, other.Close()
+	}
+	return pool
+}
+
 // TestWhichRunsCount guards against runs that stop counting although their engine may still work, and against ones that go on
 // counting after its end. Logs and the limit on targets use the same numbers.
 func TestWhichRunsCount(t *testing.T) {
@@ -32,23 +48,28 @@
 	reset := fmt.Errorf("read: %w", syscall.ECONNRESET)
 	for name, test := range map[string]struct {
 		engines   *queriedEngines
+		refused   []string
 		responded bool
 		wantEnded bool
 	}{
 		"same process":         {engines: &queriedEngines{report: fleet.Report{Born: 1}}},
 		"report without start": {engines: &queriedEngines{}},
-		"connection refused":   {engines: &queriedEngines{err: refused}, wantEnded: true},
+		"connection refused":   {engines: &queriedEngines{err: refused}, refused: []string{"e:1"}, wantEnded: true},
+		"zone refuses":         {engines: &queriedEngines{err: refused}, refused: []string{"e:1", "f:1"}},
+		"refused once":         {engines: &queriedEngines{err: refused}},
+		"earlier process":      {engines: &queriedEngines{report: fleet.Report{Born: -1}}},
 		"later process":        {engines: &queriedEngines{report: fleet.Report{Born: 2}}, wantEnded: true},
 		"report reset":         {engines: &queriedEngines{err: reset}},
 		"report cut short":     {engines: &queriedEngines{err: io.ErrUnexpectedEOF}},
 		"silent":               {engines: &queriedEngines{err: context.DeadlineExceeded}},
 		"no route":             {engines: &queriedEngines{err: errors.New("no route to host")}},
-		"responded":            {engines: &queriedEngines{err: refused}, responded: true},
+		"responded":            {engines: &queriedEngines{err: refused}, refused: []string{"e:1"}, responded: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			g := New(Options{Engines: test.engines})
-			first, second := fleet.Target{ID: "e", Born: 1, Card: "card"}, fleet.Target{ID: "f", Born: 1, Card: "card"}
+			g := New(Options{Engines: test.engines, Pool: refusingDials(test.refused...)})
+			first := fleet.Target{ID: "e", Address: "e:1", Born: 1, Card: "card"}
+			second := fleet.Target{ID: "f", Address: "f:1", Born: 1, Card: "card"}
 			g.dispatcher.Fleet.Put(first)
 			g.dispatcher.Fleet.Put(second)
 			s := addStream(g, "s", 0, nil)
@@ -125,3 +146,23 @@
 		t.Error("another attempt after 3 targets have ended")
 	}
 }
+
+// TestCheckOfRefusedTargetIsNotRepeated guards against a connection to every target for each request during a partition.
+func TestCheckOfRefusedTargetIsNotRepeated(t *testing.T) {
+	pool := refusingDials("e:1", "f:1")
+	dials, dial := 0, pool.Dial
+	pool.Dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+		dials++
+		return dial(ctx, network, address)
+	}
+	g := New(Options{Pool: pool})
+	target := fleet.Target{ID: "e", Address: "e:1", Born: 1}
+	g.dispatcher.Fleet.Put(target)
+	g.dispatcher.Fleet.Put(fleet.Target{ID: "f", Address: "f:1", Born: 1})
+	for range 10 {
+		g.confirmIfRefused(t.Context(), target, syscall.ECONNREFUSED)
+	}
+	if dials != 1 || g.targetEnded(target) {
+		t.Errorf("%d connections for ten checks, want 1; ended %v", dials, g.targetEnded(target))
+	}
+}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -59,7 +59,6 @@
 	begunAt := time.Now()
 	conn, err := g.options.Pool.Get(ctx, attempt.Target.Address, newConn, dispatch.ConnectTimeout(headTimeout))
 	if err != nil {
-		g.recordIfRefused(attempt.Target, err)
 		return nil, fmt.Errorf("%w: %w", errNotSent, err)
 	}
 	connectTime := time.Since(begunAt)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -16,6 +16,8 @@
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/sync/singleflight"
+
 	"github.com/hyssophoist/hyssophoist/core/dispatch"
 	"github.com/hyssophoist/hyssophoist/core/drain"
 	"github.com/hyssophoist/hyssophoist/core/entity"
@@ -110,6 +112,9 @@
 	streams  map[*stream]struct{}
 	// shedders holds the overload of each service.
 	shedders map[entity.ServiceID]*shedder
+	// endedChecks merges concurrent checks whether a target has ended; endedChecksAt is when the recent ones began.
+	endedChecks   singleflight.Group
+	endedChecksAt map[entity.TargetID]time.Time
 }
 
 // New returns a gateway without a configuration.
@@ -123,7 +128,7 @@
 		},
 		retryWindows: make(map[entity.ServiceID]*retry.Window), retryDelays: make(map[entity.ServiceID]*retrydelay.Estimator),
 		requests: make(map[*request]struct{}), streams: make(map[*stream]struct{}), retryEpoch: boottime.Now(),
-		shedders:   make(map[entity.ServiceID]*shedder),
+		shedders: make(map[entity.ServiceID]*shedder), endedChecksAt: make(map[entity.TargetID]time.Time),
 		quarantine: quarantine.New(rand.Float64), requestBodies: newRequestBodyMemory(options.RequestBodyMemory),
 	}
 	if options.FirstStart {
--- a/internal/gateway/inspect.go
+++ b/internal/gateway/inspect.go
@@ -91,14 +91,13 @@
 		switch {
 		case err == nil:
 			i.gateway.recordReport(target, report)
-			if fresh.isOfOther(target) {
-				i.gateway.recordEnded(target, "another process answers at its address")
+			if fresh.isOfLater(target) {
+				i.gateway.recordEnded(target, "a later process answers at its address")
 			}
 		case errors.As(err, &refused):
 			i.gateway.recordBackoff(target, refused.For)
 		default:
 			i.gateway.recordNoAnswer(target, err)
-			i.gateway.recordIfRefused(target, err)
 		}
 		return fresh, nil
 	})
--- a/internal/gateway/watchdog.go
+++ b/internal/gateway/watchdog.go
@@ -2,11 +2,8 @@
 
 import (
 	"context"
-	"errors"
-	"io"
 	"slices"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/hyssophoist/hyssophoist/core/dispatch"
@@ -288,7 +285,7 @@
 	for n, target := range targets {
 		if reports[n].noAnswer() {
 			unresponsive = append(unresponsive, target)
-			gone = gone || reports[n].hasEnded(target)
+			gone = gone || i.hasEnded(ctx, target, reports[n])
 		}
 	}
 	return unresponsive, gone
@@ -310,15 +307,11 @@
 	return slices.Contains(silent, true)
 }
 
-// hasEnded reports whether the result shows that the process of an engine has ended: its address refuses or resets
-// connections, or another process has taken its place. An engine that does not answer may only be silent.
-func (r reportResult) hasEnded(target fleet.Target) bool {
-	if r.err == nil {
-		return r.isOfOther(target)
-	}
-	// A response that is cut short may also be a spoiled one.
-	cut := errors.Is(r.err, io.ErrUnexpectedEOF)
-	return errors.Is(r.err, syscall.ECONNREFUSED) || !cut && closedByTarget(r.err)
+// hasEnded reports whether the process of an engine is known to have ended after its report was read with the given result. An
+// engine that does not answer may only be silent, and one that resets or refuses connections only be cut off.
+func (i *inspector) hasEnded(ctx context.Context, target fleet.Target, result reportResult) bool {
+	i.gateway.confirmIfRefused(ctx, target, result.err)
+	return result.isOfLater(target) || i.gateway.targetEnded(target)
 }
 
 // faultyTargets returns the engines of a path because of which the request makes no progress: those that return no
@@ -337,7 +330,7 @@
 		}
 	}
 	for n, target := range targets {
-		ended := reports[n].hasEnded(target)
+		ended := i.hasEnded(ctx, target, reports[n])
 		if ended || reports[n].noAnswer() || stalledAt[target.Address] {
 			faulty = append(faulty, target)
 			gone = gone || ended
