Do not blame prompts for connections that a partition breaks

What callers would see: requests with a part of a prompt refused by all instances, after a partition of a few. An engine counted as crashed if a connection to it broke off before the first event and it gave no report. Both hold for each engine behind a cut link; three such engines quarantine a part, and the evidence is passed on to all instances. Change: the engine counts as crashed only if another target of its zone accepts a connection. Concurrent checks are merged. Result: the new case 'zone is cut off' of TestBrokenConnectionIsNoCrash failed before (evidence true, want false); it and all other tests of internal/gateway pass, and those of internal/edge on crashes.

--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -131,7 +131,8 @@
 }
 
 // recordCrash records that the first engine of the path has crashed if the connection to it broke off before the stream
-// got any event, and the engine no longer answers or has started again.
+// got any event, and the engine no longer answers or has started again. A partition that breaks the connections of an instance
+// must not make it blame prompts: the other instances, which still reach the engines, would refuse them too.
 func (s *stream) recordCrash(ctx context.Context, err error) {
 	if s.events > 0 || len(s.PromptParts) < 2 || !closedByTarget(err) {
 		return
@@ -162,8 +163,9 @@
 	return false
 }
 
-// hasCrashed reports whether an engine gives no report now, or one of a later process.
+// hasCrashed reports whether an engine gives no report now although its zone is reachable, or one of a later process.
 func (i *inspector) hasCrashed(ctx context.Context, target fleet.Target) bool {
 	report, err := i.inspectSince(ctx, target, time.Now())
-	return reportResult{err: err}.noAnswer() || report.Born != 0 && report.Born != target.Born
+	result := reportResult{report: report, err: err}
+	return result.isOfLater(target) || result.noAnswer() && i.gateway.reachesZone(ctx, target)
 }
--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -22,8 +22,8 @@
 }
 
 // TestBrokenConnectionIsNoCrash guards against prompts that are blamed for answers that broke off at an engine that
-// lives, against crashes that go unnoticed because of a report from before, and against blame for what this instance
-// cancelled.
+// lives or is cut off from this instance, against crashes that go unnoticed because of a report from before, and against blame
+// for what this instance cancelled.
 func TestBrokenConnectionIsNoCrash(t *testing.T) {
 	closed := fmt.Errorf("read event: %w", io.ErrUnexpectedEOF)
 	dead := func() Engines { return &fakeEngines{dead: map[entity.TargetID]bool{"e": true}} }
@@ -32,17 +32,24 @@
 		err     error
 		events  int
 		want    bool
+		// refused holds the addresses of engines that refuse connections.
+		refused []string
 	}{
-		"engine is gone":        {dead(), closed, 0, true},
-		"engine started again":  {&restartedEngines{}, closed, 0, true},
-		"engine lives":          {&fakeEngines{}, closed, 0, false},
-		"after an event":        {dead(), closed, 1, false},
-		"cancelled here":        {dead(), net.ErrClosed, 0, false},
-		"no answer in time":     {dead(), context.DeadlineExceeded, 0, false},
-		"event cut short":       {dead(), errTruncatedEvent, 0, true},
-		"request was not valid": {dead(), errors.New("malformed"), 0, false},
+		"engine is gone":        {engines: dead(), err: closed, want: true, refused: []string{"e:1"}},
+		"engine is silent":      {engines: dead(), err: closed, want: true},
+		"zone is cut off":       {engines: dead(), err: closed, refused: []string{"e:1", "f:1"}},
+		"engine started again":  {engines: &restartedEngines{}, err: closed, want: true},
+		"engine lives":          {engines: &fakeEngines{}, err: closed},
+		"after an event":        {engines: dead(), err: closed, events: 1},
+		"cancelled here":        {engines: dead(), err: net.ErrClosed},
+		"no answer in time":     {engines: dead(), err: context.DeadlineExceeded},
+		"event cut short":       {engines: dead(), err: errTruncatedEvent, want: true},
+		"request was not valid": {engines: dead(), err: errors.New("malformed")},
 	} {
-		g := New(Options{Engines: test.engines})
+		g := New(Options{Engines: test.engines, Pool: refusingDials(test.refused...)})
+		for _, id := range []entity.TargetID{"e", "f"} {
+			g.dispatcher.Fleet.Put(fleet.Target{ID: id, Address: string(id) + ":1", Born: 1, Card: "card"})
+		}
 		s := addStream(g, "r", 0, pathThrough("e", "f"))
 		s.PromptParts = []string{"first", "middle", "last"}
 		s.events = test.events
@@ -56,8 +63,9 @@
 // TestCrashIsCheckedAnew guards against a crash that is overlooked because the engine has reported shortly before.
 func TestCrashIsCheckedAnew(t *testing.T) {
 	engines := &fakeEngines{dead: make(map[entity.TargetID]bool)}
-	g := New(Options{Engines: engines})
-	engine := fleet.Target{ID: "e", Born: 1}
+	g := New(Options{Engines: engines, Pool: refusingDials()})
+	engine := fleet.Target{ID: "e", Address: "e:1", Born: 1}
+	g.dispatcher.Fleet.Put(fleet.Target{ID: "f", Address: "f:1", Born: 1})
 	if g.inspector.hasCrashed(t.Context(), engine) {
 		t.Fatal("an engine that answers counts as crashed")
 	}
--- a/internal/gateway/ended.go
+++ b/internal/gateway/ended.go
@@ -166,21 +166,25 @@
 	return true
 }
 
-// reachesZone reports whether another target in the zone of a target accepts a new connection of this instance.
+// reachesZone reports whether another target in the zone of a target accepts a new connection of this instance. Concurrent
+// checks for one target are merged.
 func (g *Gateway) reachesZone(ctx context.Context, target fleet.Target) bool {
-	g.mu.Lock()
-	witnesses := g.dispatcher.Fleet.Witnesses(boottime.Now(), target, maxWitnesses)
-	g.mu.Unlock()
-	results := make(chan error, len(witnesses))
-	for _, witness := range witnesses {
-		go func() { results <- g.connect(ctx, witness) }()
-	}
-	for range witnesses {
-		if err := <-results; err == nil {
-			return true
+	reached, _, _ := g.zoneChecks.Do(string(target.ID), func() (any, error) {
+		g.mu.Lock()
+		witnesses := g.dispatcher.Fleet.Witnesses(boottime.Now(), target, maxWitnesses)
+		g.mu.Unlock()
+		results := make(chan error, len(witnesses))
+		for _, witness := range witnesses {
+			go func() { results <- g.connect(context.WithoutCancel(ctx), witness) }()
 		}
-	}
-	return false
+		for range witnesses {
+			if err := <-results; err == nil {
+				return true, nil
+			}
+		}
+		return false, nil
+	})
+	return reached.(bool)
 }
 
 // recordEnded records that the process of a target has ended.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -112,9 +112,10 @@
 	streams  map[*stream]struct{}
 	// shedders holds the overload of each service.
 	shedders map[entity.ServiceID]*shedder
-	// endedChecks merges concurrent checks whether a target has ended; endedChecksAt is when the recent ones began.
-	endedChecks   singleflight.Group
-	endedChecksAt map[entity.TargetID]time.Time
+	// endedChecks and zoneChecks merge concurrent checks whether a target has ended and whether its zone is reachable;
+	// endedChecksAt is when the recent ones of the former began.
+	endedChecks, zoneChecks singleflight.Group
+	endedChecksAt           map[entity.TargetID]time.Time
 }
 
 // New returns a gateway without a configuration.
