--- a/internal/edge/targetlinks_test.go
+++ b/internal/edge/targetlinks_test.go
@@ -103,3 +103,13 @@
 
 // restore ends a cut.
 func (l *targetLinks) restore() { l.cut(linksUp, func(*faultproxy.Proxy) {}) }
+
+// accepted returns the number of open connections.
+func (l *targetLinks) accepted() (open int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, proxy := range l.proxies {
+		open += len(proxy.Connections())
+	}
+	return open
+}
