Relay requests of an instance that has lost its links to targets

Cause: an instance could not tell the loss of its own links from the end of targets. It tried one target after the other, 400 ms each, and refused; nothing handed a request to an instance that reaches the targets. Change: a failed, slow or unanswered connection starts a check of several targets of the service (core/isolation). If none accepts, the instance relays requests to another one (core/relay, internal/gateway/relay.go), with the time and the attempts that are left; begun streams go on there. An isolated or stopping instance refuses at once, and a request is relayed once only. The listener is the setting relay.

--- a/core/errkind/errkind.go
+++ b/core/errkind/errkind.go
@@ -30,6 +30,7 @@
 	NoCapacity          Kind = "no_capacity"
 	NoConfiguration     Kind = "no_configuration"
 	Stopping            Kind = "stopping"
+	RelayRefused        Kind = "relay_refused"
 	ConnectionClosed    Kind = "connection_closed"
 	PlatformUnavailable Kind = "platform_unavailable"
 	TargetRefused       Kind = "target_refused"
@@ -80,6 +81,7 @@
 	NoCapacity:          {503, NotRun, true},
 	NoConfiguration:     {503, NotRun, true},
 	Stopping:            {503, NotRun, true},
+	RelayRefused:        {421, NotRun, true},
 	ConnectionClosed:    {408, NotRun, true},
 	PlatformUnavailable: {503, NotRun, true},
 	TargetRefused:       {503, NotRun, true},
--- a/core/loadshare/loadshare.go
+++ b/core/loadshare/loadshare.go
@@ -81,6 +81,8 @@
 	Incarnation uint64
 	// Capacity is the processor share of the instance, in thousandths of a core; 0 if unknown.
 	Capacity int
+	// Relay is the host:port of its listener for relayed requests; empty if it accepts none.
+	Relay string
 }
 
 // compareMembers orders the members of a zone. Members with more capacity come first, since the work of a collector
@@ -158,6 +160,17 @@
 	return members
 }
 
+// AllOthers returns the other instances of all zones that are not down.
+func (t *Table) AllOthers(now time.Time) []Member {
+	members := make([]Member, 0, len(t.members))
+	for _, m := range t.members {
+		if !now.Before(m.downUntil) {
+			members = append(members, m.Member)
+		}
+	}
+	return members
+}
+
 // Collector returns the collector of this instance's zone, which may be this instance.
 func (t *Table) Collector(now time.Time) Member {
 	return slices.MinFunc(append(t.upMembers(now, t.self.Zone), t.self), compareMembers)
--- a/internal/edge/deployment_test.go
+++ b/internal/edge/deployment_test.go
@@ -102,7 +102,7 @@
 	ip := uniqueLoopbackIP(daemonsStarted.Add(1))
 	return &settings.Edge{
 		Daemon: fmt.Sprintf("edge-%d", len(d.daemons)), Zone: zone, Front: ip + ":8000", Ready: ip + ":8001",
-		Peer: ip + ":8002", Metrics: ip + ":8003", MemoryMB: 100, StopGrace: settings.Duration(5 * time.Second),
+		Peer: ip + ":8002", Metrics: ip + ":8003", Relay: ip + ":8004", MemoryMB: 100, StopGrace: settings.Duration(5 * time.Second),
 		FirstStart: true,
 		DrainBound: settings.Duration(2 * time.Second), ConfigurationBound: settings.Duration(2 * time.Second),
 		Retries: settings.Retries{Ratio: 0.2, Slack: 2000, Span: settings.Duration(10 * time.Second)},
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -130,7 +130,7 @@
 	return loadshare.New(loadshare.Options{
 		Self: coreloadshare.Member{
 			ID: entity.DaemonID(s.Daemon), Zone: entity.ZoneID(s.Zone), Address: s.Peer,
-			Incarnation: uint64(time.Now().UnixNano()), Capacity: int(s.CPUShare * millicores),
+			Incarnation: uint64(time.Now().UnixNano()), Capacity: int(s.CPUShare * millicores), Relay: s.Relay,
 		},
 		View: g, Table: store, Tables: t,
 	})
@@ -150,6 +150,9 @@
 	m.registerGateway(g)
 	m.registerLeaving(g)
 	g.OnCrash(sharer.Announce)
+	if s.Relay != "" {
+		g.RelayTo(gateway.RelayOptions{Self: entity.DaemonID(s.Daemon), Peers: sharer.RelayPeers, Pool: connpool.New()})
+	}
 	followLeaving(s, g, engines)
 	d := &Daemon{
 		settings: s, gateway: g, pool: pool, store: store, tables: t, placer: p, sharer: sharer, metrics: m,
@@ -176,6 +179,14 @@
 	}
 	err := errors.Join(d.listenForCallers(), d.listen(d.auxiliary[0], d.settings.Ready),
 		d.listen(d.auxiliary[1], d.settings.Metrics))
+	if d.settings.Relay != "" {
+		relays := &http.Server{
+			Handler: d.gateway.RelayHandler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+			MaxHeaderBytes: maxHeaderBytes, Protocols: http1Only(),
+		}
+		d.auxiliary = append(d.auxiliary, relays)
+		err = errors.Join(err, d.listen(relays, d.settings.Relay))
+	}
 	if err != nil {
 		cancel()
 		return err
@@ -190,6 +201,7 @@
 	})
 	d.wg.Go(func() { d.maintain(ctx) })
 	d.wg.Go(func() { d.gateway.ProbeDownEngines(ctx) })
+	d.wg.Go(func() { d.gateway.CheckLinks(ctx) })
 	d.wg.Go(func() { boottime.WatchPauses(ctx, d.handlePause) })
 	log.Event("started", "daemon", d.settings.Daemon, "zone", d.settings.Zone, "front", d.settings.Front,
 		"store", d.settings.Store.Address, "memoryMB", d.settings.MemoryMB)
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -130,6 +130,23 @@
 			Name: "hyssophoist_edge_quarantined_parts",
 			Help: "Parts of prompts that are refused because they crash engines.",
 		}, func() float64 { return float64(g.QuarantinedParts()) }),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "hyssophoist_edge_isolated_services",
+			Help: "Services to whose targets this instance has lost its links.",
+		}, func() float64 { return float64(g.IsolatedServices()) }),
+		prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Name: "hyssophoist_edge_relayed_requests_total", Help: "Requests that other instances have taken from this one.",
+		}, func() float64 {
+			sent, _ := g.RelayCounts()
+			return float64(sent)
+		}),
+		prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Name: "hyssophoist_edge_unrelayed_requests_total",
+			Help: "Requests that no other instance has taken from this one, which is isolated from their targets.",
+		}, func() float64 {
+			_, refused := g.RelayCounts()
+			return float64(refused)
+		}),
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Name: "hyssophoist_edge_backoff_targets", Help: "Targets that asked to get no requests for some time.",
 		}, func() float64 {
--- a/internal/edge/stop.go
+++ b/internal/edge/stop.go
@@ -8,6 +8,7 @@
 
 	"github.com/hyssophoist/hyssophoist/core/drain"
 	"github.com/hyssophoist/hyssophoist/internal/callerconn"
+	"github.com/hyssophoist/hyssophoist/internal/timing"
 	"github.com/hyssophoist/hyssophoist/platform"
 )
 
@@ -16,6 +17,8 @@
 	stopMargin = 400 * time.Millisecond
 	// answerMargin is the part of stopMargin in which the callers of cancelled requests get an answer.
 	answerMargin = 150 * time.Millisecond
+	// relayedPollInterval is the time between two looks whether requests that other instances have relayed are in progress.
+	relayedPollInterval = 20 * time.Millisecond
 	// idleTimeoutFactor multiplies the idle timeout in the configuration: callers may go by an earlier or later configuration,
 	// and a request that crosses the close of its connection has to be sent again.
 	idleTimeoutFactor = 2
@@ -78,7 +81,11 @@
 	time.Sleep(time.Until(stop.AcceptUntil()))
 	ctx, cancel := context.WithDeadline(context.Background(), stop.EndAt)
 	defer cancel()
-	if err := d.callers.Finish(ctx); err == nil {
+	err := d.callers.Finish(ctx)
+	if err == nil {
+		err = d.awaitRelayed(ctx)
+	}
+	if err == nil {
 		return
 	}
 	log.Event("requests are cut off at the end of the grace time", "connections", d.callers.Count())
@@ -90,3 +97,12 @@
 		log.Event("connections are closed at the end of the grace time", "connections", d.callers.Count())
 	}
 }
+
+// awaitRelayed waits for the requests in progress that other instances have relayed; these relay no further ones to an instance
+// that stops.
+func (d *Daemon) awaitRelayed(ctx context.Context) error {
+	for d.gateway.RelayedInProgress() > 0 && ctx.Err() == nil {
+		timing.Sleep(ctx, relayedPollInterval)
+	}
+	return ctx.Err()
+}
--- a/internal/gateway/ended.go
+++ b/internal/gateway/ended.go
@@ -117,15 +117,15 @@
 	if target.Card != "" {
 		_, err = g.inspector.inspectSince(ctx, target, since)
 	} else {
-		err = g.connect(ctx, target)
+		err = g.connect(ctx, target, endedCheckTimeout)
 	}
 	g.confirmIfRefused(ctx, target, err)
 	return err
 }
 
 // connect opens a new connection to a target and closes it. An open one may live on while a partition refuses new ones.
-func (g *Gateway) connect(ctx context.Context, target fleet.Target) error {
-	conn, err := g.options.Pool.Get(ctx, target.Address, true, endedCheckTimeout)
+func (g *Gateway) connect(ctx context.Context, target fleet.Target, timeout time.Duration) error {
+	conn, err := g.options.Pool.Get(ctx, target.Address, true, timeout)
 	if err != nil {
 		return err
 	}
@@ -147,7 +147,7 @@
 			log.Debugf("target %s refuses connections, and so does its zone", target.ID)
 			return nil, nil
 		}
-		if err := g.connect(ctx, target); errors.Is(err, syscall.ECONNREFUSED) {
+		if err := g.connect(ctx, target, endedCheckTimeout); errors.Is(err, syscall.ECONNREFUSED) {
 			g.recordEnded(target, err.Error())
 		}
 		return nil, nil
@@ -173,16 +173,7 @@
 		g.mu.Lock()
 		witnesses := g.dispatcher.Fleet.Witnesses(boottime.Now(), target, maxWitnesses)
 		g.mu.Unlock()
-		results := make(chan error, len(witnesses))
-		for _, witness := range witnesses {
-			go func() { results <- g.connect(context.WithoutCancel(ctx), witness) }()
-		}
-		for range witnesses {
-			if err := <-results; err == nil {
-				return true, nil
-			}
-		}
-		return false, nil
+		return g.anyAccepts(context.WithoutCancel(ctx), witnesses, endedCheckTimeout), nil
 	})
 	return reached.(bool)
 }
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -57,8 +57,13 @@
 // means that the target has not received the request.
 func (g *Gateway) send(ctx context.Context, attempt *Attempt, newConn bool, headTimeout time.Duration) (*exchange, error) {
 	begunAt := time.Now()
+	slow := time.AfterFunc(slowDialTime, func() { g.recordLinkFailure(attempt.Target.Service) })
 	conn, err := g.options.Pool.Get(ctx, attempt.Target.Address, newConn, dispatch.ConnectTimeout(headTimeout))
+	slow.Stop()
 	if err != nil {
+		if ctx.Err() == nil {
+			g.recordLinkFailure(attempt.Target.Service)
+		}
 		return nil, fmt.Errorf("%w: %w", errNotSent, err)
 	}
 	connectTime := time.Since(begunAt)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -23,6 +23,7 @@
 	"github.com/hyssophoist/hyssophoist/core/entity"
 	"github.com/hyssophoist/hyssophoist/core/errkind"
 	"github.com/hyssophoist/hyssophoist/core/fleet"
+	"github.com/hyssophoist/hyssophoist/core/isolation"
 	"github.com/hyssophoist/hyssophoist/core/linkshare"
 	"github.com/hyssophoist/hyssophoist/core/loadshare"
 	"github.com/hyssophoist/hyssophoist/core/quarantine"
@@ -116,6 +117,11 @@
 	// endedChecksAt is when the recent ones of the former began.
 	endedChecks, zoneChecks singleflight.Group
 	endedChecksAt           map[entity.TargetID]time.Time
+	// links shows from which services this instance is isolated; checkLinks has CheckLinks look for due checks at once.
+	links      *isolation.Detector
+	checkLinks chan struct{}
+	// relays is set by RelayTo; nil if this instance relays no requests.
+	relays *relayer
 }
 
 // New returns a gateway without a configuration.
@@ -131,6 +137,7 @@
 		requests: make(map[*request]struct{}), streams: make(map[*stream]struct{}), retryEpoch: boottime.Now(),
 		shedders: make(map[entity.ServiceID]*shedder), endedChecksAt: make(map[entity.TargetID]time.Time),
 		quarantine: quarantine.New(rand.Float64), requestBodies: newRequestBodyMemory(options.RequestBodyMemory),
+		links: isolation.New(), checkLinks: make(chan struct{}, 1),
 	}
 	if options.FirstStart {
 		g.retryEpoch = g.retryEpoch.Add(-options.RetryLimit.Span)
@@ -262,6 +269,11 @@
 	bodyBytes atomic.Int64
 	// stats returns the statistics of a stream; nil for other calls.
 	stats func() streamStats
+	// relay says that another instance has relayed the request; nil for requests of callers.
+	relay *relayedRequest
+	// takenByPeer reports whether another instance has taken the request. No attempt follows, since that instance may have made as
+	// many as the route allows.
+	takenByPeer bool
 	// refusal is set if the request is a stream that is refused for lack of capacity; retryAfterSent is the delay that the
 	// caller is told.
 	refusal        *refusal
@@ -286,7 +298,10 @@
 		g.options.Codec.WriteError(w, "", errkind.Of(err), 0)
 		return
 	}
-	q := &request{Call: call, gateway: g, writer: w, arrivedAt: arrived, body: bodyReservation{memory: g.requestBodies}}
+	q := &request{
+		Call: call, gateway: g, writer: w, arrivedAt: arrived, body: bodyReservation{memory: g.requestBodies},
+		relay: relayedRequestOf(r),
+	}
 	defer q.body.give()
 	q.serve()
 }
@@ -294,7 +309,9 @@
 // serve admits the request, sets its deadline and has it served by targets.
 func (q *request) serve() {
 	if kind, ok := q.admit(); !ok {
-		q.endWithError(kind)
+		if kind != errkind.NoConfiguration || !q.refuseRelay() {
+			q.endWithError(kind)
+		}
 		return
 	}
 	longest := longestTime(q.route)
@@ -302,6 +319,9 @@
 	if q.Timeout > 0 {
 		limit, timeout = min(limit, q.Timeout), min(timeout, dispatch.ResponseTimeout(q.Timeout))
 	}
+	if q.refuseRelay() {
+		return
+	}
 	if !q.gateway.takes(limit) {
 		q.endWithError(errkind.Stopping)
 		return
@@ -368,6 +388,7 @@
 		return errkind.NoCapacity, false
 	}
 	q.service = configuration.Services[id]
+	q.limitRelayedAttempts()
 	return "", true
 }
 
@@ -386,11 +407,15 @@
 	return q.route.Priority
 }
 
-// addRequest counts the request for the retry limit of its service and adds it to the requests in progress.
+// addRequest counts the request for the retry limit of its service, unless another instance will, and adds it to the requests
+// in progress.
 func (g *Gateway) addRequest(q *request) {
+	relayed := q.mayRelay()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.retryWindow(q.service.ID).RecordRequest(boottime.Now().Sub(g.retryEpoch))
+	if !relayed {
+		g.retryWindow(q.service.ID).RecordRequest(boottime.Now().Sub(g.retryEpoch))
+	}
 	g.requests[q] = struct{}{}
 }
 
@@ -483,6 +508,9 @@
 	if result != resultOK || counted < ran {
 		fields = append(fields, "ran", ran, "counted", counted)
 	}
+	if q.relay != nil {
+		fields = append(fields, "relayedBy", q.relay.from)
+	}
 	if result == resultOK {
 		log.Routine("request ended", fields...)
 	} else {
@@ -494,7 +522,7 @@
 		}
 		log.Event("request ended", fields...)
 	}
-	if q.gateway.options.OnRequestEnd != nil {
+	if q.gateway.options.OnRequestEnd != nil && q.relay == nil { // the other instance counts it
 		q.gateway.options.OnRequestEnd(kind, result, duration)
 	}
 }
--- a/internal/gateway/inspect.go
+++ b/internal/gateway/inspect.go
@@ -129,6 +129,7 @@
 	g.mu.Lock()
 	changed := g.dispatcher.Fleet.RecordNoAnswer(boottime.Now(), target.ID, g.downProbeInterval()+reportTTL+reportTimeout)
 	g.mu.Unlock()
+	g.recordLinkFailure(target.Service)
 	if changed {
 		log.Event("engine does not answer", "target", target.ID, "born", target.Born, "error", err.Error())
 	}
--- a/internal/gateway/leaving.go
+++ b/internal/gateway/leaving.go
@@ -33,7 +33,7 @@
 // recordIfLeaving records whether the target that wrote a response announces that it is leaving. A 421 response comes from
 // another target with the same address.
 func (x *exchange) recordIfLeaving(head ResponseHead, requestID string) {
-	if !head.Leaving {
+	if !head.Leaving || x.target.ID == "" { // another instance only passes on what its target says
 		return
 	}
 	if head.Status != http.StatusMisdirectedRequest {
--- a/internal/gateway/nextpath.go
+++ b/internal/gateway/nextpath.go
@@ -16,7 +16,7 @@
 // have just refused the stream.
 func (s *stream) awaitPath(ctx context.Context) *dispatch.Path {
 	for waited := time.Duration(0); ; waited += waitInterval {
-		if path := s.choosePath(); path != nil || ctx.Err() != nil || !s.waitsForPath(waited) {
+		if path := s.choosePath(); path != nil || ctx.Err() != nil || s.mayRelay() || !s.waitsForPath(waited) {
 			return path
 		}
 		// An engine that refused may have capacity again, and there may be no other.
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -33,8 +33,9 @@
 // uses its fields; attempts run in goroutines of their own.
 type bufferedCall struct {
 	*request
-	// attemptsCtx is the context of all attempts.
-	attemptsCtx context.Context
+	// attemptsCtx is the context of all attempts, which cancelAttempts ends.
+	attemptsCtx    context.Context
+	cancelAttempts context.CancelFunc
 	// tried holds the targets of all attempts, of which inProgress have no outcome yet.
 	tried      map[entity.TargetID]bool
 	inProgress int
@@ -69,9 +70,13 @@
 
 // serveBuffered serves a call whose response is buffered until it is complete, and then forwarded.
 func (q *request) serveBuffered(ctx context.Context) {
+	if q.mayRelay() {
+		q.relayBuffered(ctx)
+		return
+	}
 	attemptsCtx, cancel := context.WithCancel(ctx)
 	c := &bufferedCall{
-		request: q, attemptsCtx: attemptsCtx, tried: make(map[entity.TargetID]bool),
+		request: q, attemptsCtx: attemptsCtx, cancelAttempts: cancel, tried: make(map[entity.TargetID]bool),
 		outcomes: make(chan attemptOutcome, maxSends), secondAttempt: time.NewTimer(maxTimeout),
 		holdTimer: time.NewTimer(maxTimeout), refusal: errkind.Overloaded,
 	}
@@ -86,6 +91,10 @@
 		q.writeResponse(response)
 		return
 	}
+	if c.fallback == nil && q.reachedNoTarget(ctx) && q.hasTime(ctx) && q.takeRetry() {
+		q.relayBuffered(ctx)
+		return
+	}
 	q.endBuffered(ctx, c.fallback, c.refusal)
 }
 
@@ -121,7 +130,7 @@
 				c.newConn = true
 				delete(c.tried, outcome.target.ID)
 			}
-			if retry && c.hasTime(ctx) && c.mayBeginAttempt() && c.takeRetry() {
+			if retry && c.attemptsCtx.Err() == nil && c.hasTime(ctx) && c.mayBeginAttempt() && c.takeRetry() {
 				c.beginAttempt()
 			}
 		}
@@ -162,7 +171,14 @@
 // beginSecondAttempt begins an attempt on another target beside one that takes long, if another target and a retry are
 // left. The one in progress goes on: its target may be silent for a while, and the other may do no better.
 func (c *bufferedCall) beginSecondAttempt(ctx context.Context) {
-	if !c.route.Repeatable() || !c.hasTime(ctx) || !c.mayBeginAttempt() || !c.takeRetry() {
+	if !c.route.Repeatable() || !c.hasTime(ctx) {
+		return
+	}
+	if c.mayRelay() && c.countedTargets()+c.inProgress < c.route.MaxAttempts {
+		c.cancelAttempts() // serveBuffered then relays the call
+		return
+	}
+	if !c.mayBeginAttempt() || !c.takeRetry() {
 		return
 	}
 	c.suspectLatest()
--- a/internal/gateway/refusedconn_test.go
+++ b/internal/gateway/refusedconn_test.go
@@ -33,6 +33,8 @@
 	}
 }
 
+func (refusalCodec) EncodeRelay(*Call, time.Duration, int64) *http.Request { return nil }
+
 func (refusalCodec) DecodeResponseHead(r *http.Response) ResponseHead {
 	return ResponseHead{
 		Status: r.StatusCode, Header: r.Header, RequestID: r.Header.Get("Id"), Leaving: r.Header.Get("Leaving") != "",
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -108,7 +108,7 @@
 	q.setWriteTimeout(q.streamTimeLeft() + streamWriteTimeout)
 	s.setCountsEnded(true)
 	s.size = dispatch.EstimateGeneration(q.service.Engine, q.PromptTokens, q.ExpectedTokens, q.MaxTokens)
-	if s.sheds() {
+	if !q.mayRelay() && s.sheds() { // another instance decides on its own load
 		s.gaveUp = overloaded
 		q.endWithError(errkind.Overloaded)
 		return
@@ -173,6 +173,9 @@
 		s.gaveUp = partsQuarantined
 		return false, false
 	}
+	if s.mayRelay() {
+		return s.runRelayedAttempt(ctx)
+	}
 	path := s.awaitPath(ctx)
 	if path == nil {
 		s.lastErr, s.lastKind, s.gaveUp = errNoPath, errkind.NoCapacity, noPathFound
--- a/internal/gateway/types.go
+++ b/internal/gateway/types.go
@@ -84,6 +84,9 @@
 	DecodeCall(r *http.Request) (*Call, error)
 	// EncodeAttempt returns the HTTP request to send to the target of an attempt, without a body.
 	EncodeAttempt(a *Attempt) *http.Request
+	// EncodeRelay returns the caller's request as another instance of the system gets it, without a body. timeout is how long the
+	// caller still waits, lastEventID the id of the last event that it has received, -1 for none.
+	EncodeRelay(call *Call, timeout time.Duration, lastEventID int64) *http.Request
 	// DecodeResponseHead decodes the status and header of a target's response.
 	DecodeResponseHead(r *http.Response) ResponseHead
 	// WriteError writes the response to a call that the gateway itself ends. retryAfter is 0 if a retry is not offered.
--- a/internal/gateway/watchdog.go
+++ b/internal/gateway/watchdog.go
@@ -87,6 +87,13 @@
 	return w
 }
 
+// stoppedWatchdog returns a watchdog that records events and checks no engines.
+func (i *inspector) stoppedWatchdog() *watchdog {
+	timer := time.NewTimer(time.Hour)
+	timer.Stop()
+	return &watchdog{inspector: i, lastArrival: time.Now(), timer: timer, stopped: true}
+}
+
 // state returns the time since the last event and the time without an event after which engines are checked. stopped
 // reports whether the watchdog was stopped.
 func (w *watchdog) state() (idle, checkDelay time.Duration, stopped bool) {
--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -14,6 +14,7 @@
 	"github.com/hyssophoist/hyssophoist/core/entity"
 	"github.com/hyssophoist/hyssophoist/core/loadshare"
 	"github.com/hyssophoist/hyssophoist/core/quarantine"
+	"github.com/hyssophoist/hyssophoist/core/relay"
 	"github.com/hyssophoist/hyssophoist/core/rowversion"
 	"github.com/hyssophoist/hyssophoist/core/tablecache"
 	"github.com/hyssophoist/hyssophoist/internal/logging"
@@ -130,6 +131,18 @@
 	return s.table.CollectorRank(time.Now())
 }
 
+// RelayPeers returns the other instances that accept relayed requests, as far as this instance knows them.
+func (s *Sharer) RelayPeers() (peers []relay.Peer) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, member := range s.table.AllOthers(time.Now()) {
+		if member.Relay != "" {
+			peers = append(peers, relay.Peer{ID: member.ID, Zone: member.Zone, Address: member.Relay})
+		}
+	}
+	return peers
+}
+
 // rpcService exports the RPC methods.
 type rpcService struct{ sharer *Sharer }
 
--- a/internal/settings/edge.go
+++ b/internal/settings/edge.go
@@ -17,7 +17,10 @@
 	Ready   string `json:"ready"`
 	Peer    string `json:"peer"`
 	Metrics string `json:"metrics"`
-	Store   Store  `json:"store"`
+	// Relay is the host:port for requests that other daemons relay because they reach no targets. A daemon without it neither
+	// relays requests nor accepts any.
+	Relay string `json:"relay,omitempty"`
+	Store Store  `json:"store"`
 	// MemoryMB is the memory limit of the process in megabytes, above which the platform kills it.
 	MemoryMB int `json:"memory_mb"`
 	// MaxFDs is the number of descriptors that the process may use, of which 200 are kept for files; 0 for the limit that the
@@ -94,6 +97,9 @@
 	checkAddress(doc, "ready", e.Ready)
 	checkAddress(doc, "peer", e.Peer)
 	checkAddress(doc, "metrics", e.Metrics)
+	if e.Relay != "" {
+		checkAddress(doc, "relay", e.Relay)
+	}
 	checkAddress(doc, "store.address", e.Store.Address)
 	if e.Store.Timeout <= 0 {
 		doc.report("store.timeout", "must be a positive duration")
