Keep what an isolated instance believes of targets to itself

An instance that is cut off from all targets told the others that each is suspected and unresponsive, so that they avoided or queried sound engines, and could count up to half of a zone's engines as lost. Change: the exchanged loads of an isolated instance have no health, and it counts no engine as lost. Result: TestIsolatedViewIsNotShared fails with the mechanism off (isolated true: lost true) and passes with it. TestLayersArePlacedBesideIsolatedInstance passes with and without it: the lease already moves on.

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -117,6 +117,8 @@
 	// DrainBound is the longest time after which a request may be sent to a target that has announced in a response that it
 	// is leaving, or whose entry has been removed.
 	DrainBound time.Duration
+	// Isolated, if set, reports whether this instance has lost its links to all targets of a service.
+	Isolated func(entity.ServiceID) bool
 
 	targets *table.Table[entity.TargetID, State]
 	// loadsSharedAt is when the other instances last shared their load; zoneInstances is the number of instances in the
@@ -222,14 +224,18 @@
 	}
 }
 
-// OwnLoads returns this instance's load on the engines and its view of their health.
+// OwnLoads returns this instance's load on the engines and its view of their health, which says nothing while the instance is
+// isolated from them.
 func (f *Fleet) OwnLoads(now time.Time) loadshare.Loads {
 	loads := loadshare.Loads{}
 	for id, state := range f.targets.All {
-		load := loadshare.Load{
-			Suspected:    now.Before(state.suspectUntil) || state.Down(now),
-			Responsive:   now.Sub(state.reachability.answeredAt) < responsiveTTL,
-			Unresponsive: state.Down(now),
+		var load loadshare.Load
+		if !f.isolatedFrom(state) {
+			load = loadshare.Load{
+				Suspected:    now.Before(state.suspectUntil) || state.Down(now),
+				Responsive:   now.Sub(state.reachability.answeredAt) < responsiveTTL,
+				Unresponsive: state.Down(now),
+			}
 		}
 		if state.CacheInUse > 0 {
 			load.Sequences, load.Cache = int32(state.InProgress), float32(state.CacheInUse)
--- a/core/fleet/links.go
+++ b/core/fleet/links.go
@@ -38,6 +38,11 @@
 	return sample
 }
 
+// isolatedFrom reports whether this instance is isolated from the service of a target.
+func (f *Fleet) isolatedFrom(state *State) bool {
+	return f.Isolated != nil && f.Isolated(state.Service)
+}
+
 // ForgetFailures ends the suspicion of all targets of a service and counts them as responsive: what was recorded while this
 // instance had lost its links to them says nothing about their health.
 func (f *Fleet) ForgetFailures(now time.Time, service entity.ServiceID) {
--- a/core/fleet/links_test.go
+++ b/core/fleet/links_test.go
@@ -53,3 +53,28 @@
 		t.Errorf("usable: %v and, of another service, %v", f.Get("a").Usable(now), f.Get("other").Usable(now))
 	}
 }
+
+// TestIsolatedViewIsNotShared guards against engines that other instances avoid, and whose layers are placed elsewhere, because an
+// instance without links to them does not reach them.
+func TestIsolatedViewIsNotShared(t *testing.T) {
+	for _, isolated := range []bool{false, true} {
+		now := time.Unix(1000, 0)
+		f := New()
+		f.Isolated = func(service entity.ServiceID) bool { return isolated && service == "s" }
+		for _, id := range []entity.TargetID{"cut", "b", "c"} {
+			f.Put(Target{ID: id, Service: "s", Zone: "x", Card: "card"})
+		}
+		for range 2 {
+			f.RecordFailure(now, "cut")
+			f.RecordNoAnswer(now, "cut", time.Minute)
+			now = now.Add(SilenceLimit)
+		}
+		load := f.OwnLoads(now)["cut"]
+		if load.Suspected == isolated || load.Unresponsive == isolated {
+			t.Errorf("isolated %v: shares %+v", isolated, load)
+		}
+		if lost := f.LostTargets(now)["cut"]; lost == isolated {
+			t.Errorf("isolated %v: lost %v", isolated, lost)
+		}
+	}
+}
--- a/core/fleet/reach.go
+++ b/core/fleet/reach.go
@@ -125,7 +125,7 @@
 	lost := make(map[entity.TargetID]bool)
 	for id, state := range f.targets.All {
 		zone := zones[state.Zone]
-		unresponsive := state.Card != "" && state.silentTooLong(now) &&
+		unresponsive := state.Card != "" && state.silentTooLong(now) && !f.isolatedFrom(state) &&
 			float64(zone.down) <= maxLostShare*float64(zone.engines)
 		if unresponsive || !state.InService(now) {
 			lost[id] = true
--- a/internal/edge/relay_test.go
+++ b/internal/edge/relay_test.go
@@ -265,3 +265,30 @@
 		}
 	}
 }
+
+// TestLayersArePlacedBesideIsolatedInstance guards against engines that keep layers missing because the instance that gives orders does
+// not reach them.
+func TestLayersArePlacedBesideIsolatedInstance(t *testing.T) {
+	t.Parallel()
+	for name, mode := range map[string]cutMode{"refused": linksRefuse, "hanging": linksHang} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			d := newIsolatedDeployment(t, 2)
+			d.startDaemonInZoneB()
+			d.isolate(0, mode, (*faultproxy.Proxy).Reset)
+			for _, engine := range d.engines[:2] {
+				engine.Restart()
+				d.register(engine, "ready")
+			}
+			d.waitUntil("the zone holds the model again", func() bool { return countHeldLayers(d.engines[:2]) == modelLayers })
+		})
+	}
+}
+
+// startDaemonInZoneB starts an instance whose links are not cut and which collects the loads of its zone.
+func (d *isolatedDeployment) startDaemonInZoneB() {
+	daemon := d.addDaemon("b")
+	d.waitUntil("the instances know each other", func() bool {
+		return len(daemon.sharer.RelayPeers()) == len(d.links) && len(d.daemons[0].sharer.RelayPeers()) == len(d.links)
+	})
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -139,6 +139,7 @@
 		quarantine: quarantine.New(rand.Float64), requestBodies: newRequestBodyMemory(options.RequestBodyMemory),
 		links: isolation.New(), checkLinks: make(chan struct{}, 1),
 	}
+	g.dispatcher.Fleet.Isolated = g.links.Isolated
 	if options.FirstStart {
 		g.retryEpoch = g.retryEpoch.Add(-options.RetryLimit.Span)
 	}
