Take a response with an invalid status for none

Cause: each status below 200 was taken for an interim response, after which another one is read, and each above for a final one. The same elsewhere: orders to engines counted as refused after a status below 100; the clients of the product's own interface took such a status for a success, and would have stored it as the outcome of a posting. The store's reader was right already. Change: internal/httpstatus tells interim and final statuses (RFC 9110, section 15). Any other ends the attempt with an unknown outcome, so that a repeatable call goes to another target, and another call gets 502. Result: TestInvalidStatusIsNoResponse failed before for all of 000, 099, 101, 600 and 999, and so did the tests of the clients for 000 and 099; all pass. The tests of internal/gateway, platform, service and engine pass.

--- a/internal/emulator/edgeplatform/serving.go
+++ b/internal/emulator/edgeplatform/serving.go
@@ -68,6 +68,8 @@
 		<-r.Context().Done()
 	case faults.LoseResponses:
 		panic(http.ErrAbortHandler)
+	case faults.RawStatus != "":
+		t.writeRawStatus(w, r, faults.RawStatus)
 	case t.Card != "":
 		t.serveStream(w, r, faults)
 	default:
@@ -137,6 +139,21 @@
 	write(r.Header.Get("X-Request-Id"), text)
 }
 
+// writeRawStatus writes a response with a status code that net/http may refuse to write, and keeps the connection open until the
+// other side closes it.
+func (t *Target) writeRawStatus(w http.ResponseWriter, r *http.Request, status string) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	defer conn.Close()
+	_, err = fmt.Fprintf(conn, "HTTP/1.1 %s Unknown\r\nX-Request-Id: %s\r\nX-Server-Stamp: stamp-%s\r\nContent-Length: 0\r\n\r\n",
+		status, r.Header.Get("X-Request-Id"), t.ID)
+	if err == nil {
+		_, _ = conn.Read(make([]byte, 1)) // returns once the other side has closed the connection
+	}
+}
+
 // serveEndless writes the start of a response and then the same bytes until the connection is closed.
 func (t *Target) serveEndless(w http.ResponseWriter, r *http.Request, faults TargetFaults) {
 	conn, _, err := http.NewResponseController(w).Hijack()
--- a/internal/emulator/edgeplatform/target_faults.go
+++ b/internal/emulator/edgeplatform/target_faults.go
@@ -59,6 +59,8 @@
 	// CrashOnPart makes the target crash when it begins to answer a stream whose prompt has this part. It is then down
 	// for crashTime, and comes back as a new process that holds its layers, so that tests need not wait for orders.
 	CrashOnPart string
+	// RawStatus, if set, is the status code as written in all responses, which have no body and keep their connection open.
+	RawStatus string
 	// FailStatus is the status of responses of plain services; 200 if 0.
 	FailStatus int
 	// SilentFor makes the target fall silent once: it keeps its connections and what it runs, and neither reads nor
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -18,6 +18,7 @@
 	"github.com/hyssophoist/hyssophoist/api/engineapi"
 	"github.com/hyssophoist/hyssophoist/core/entity"
 	"github.com/hyssophoist/hyssophoist/core/errkind"
+	"github.com/hyssophoist/hyssophoist/internal/httpstatus"
 	"github.com/hyssophoist/hyssophoist/internal/targethttp"
 )
 
@@ -193,7 +194,7 @@
 		return nil, err
 	}
 	defer response.Body.Close()
-	if response.StatusCode >= http.StatusBadRequest {
+	if response.StatusCode >= http.StatusBadRequest || !httpstatus.IsFinal(response.StatusCode) {
 		return nil, responseError(response)
 	}
 	content, err := io.ReadAll(io.LimitReader(response.Body, limit+1))
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -15,6 +15,7 @@
 	"github.com/hyssophoist/hyssophoist/core/fleet"
 	"github.com/hyssophoist/hyssophoist/internal/boottime"
 	"github.com/hyssophoist/hyssophoist/internal/connpool"
+	"github.com/hyssophoist/hyssophoist/internal/httpstatus"
 )
 
 const (
@@ -41,6 +42,10 @@
 // connection had been idle for too long when the target went on after a silence.
 var errStaleConn = errors.New("target closed a reused connection")
 
+// errInvalidStatus is returned for a response whose status code is that of no response. Whether the target has run the request is
+// unknown.
+var errInvalidStatus = errors.New("target responded with invalid status")
+
 // exchange is one request and its response on one connection.
 type exchange struct {
 	gateway  *Gateway
@@ -123,7 +128,7 @@
 	return err
 }
 
-// readHead reads the head of the response with the given request id. It skips interim responses and responses to other
+// readHead reads the head of the final response with the given request id. It skips interim responses and responses to other
 // requests. One that names no request is taken only on a connection that has carried no other, and ends its reuse.
 func (x *exchange) readHead(request *http.Request, id string) error {
 	for range 1 + maxSkippedResponses {
@@ -133,9 +138,12 @@
 		if err != nil {
 			return err
 		}
-		if response.StatusCode < http.StatusOK {
+		if httpstatus.IsInterim(response.StatusCode) {
 			continue
 		}
+		if !httpstatus.IsFinal(response.StatusCode) {
+			return fmt.Errorf("%w %d", errInvalidStatus, response.StatusCode)
+		}
 		head := x.gateway.options.Codec.DecodeResponseHead(response)
 		x.recordIfLeaving(head, id)
 		if head.RequestID == id || head.RequestID == "" && !x.conn.Reused {
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -17,6 +17,7 @@
 
 	"github.com/hyssophoist/hyssophoist/api/platformapi"
 	"github.com/hyssophoist/hyssophoist/core/errkind"
+	"github.com/hyssophoist/hyssophoist/internal/httpstatus"
 )
 
 const (
@@ -204,6 +205,10 @@
 
 func decodeResponse(method string, status int, content []byte, out any) error {
 	switch {
+	case !httpstatus.IsFinal(status) && method != http.MethodGet:
+		return errkind.New(errkind.OutcomeUnknown, "platform answered a write with invalid status %d", status)
+	case !httpstatus.IsFinal(status):
+		return errkind.New(errkind.PlatformUnavailable, "platform answered with invalid status %d", status)
 	case status == http.StatusNotFound && method == http.MethodGet:
 		return nil
 	case status == http.StatusConflict:
--- a/internal/service/client.go
+++ b/internal/service/client.go
@@ -15,6 +15,7 @@
 
 	"github.com/hyssophoist/hyssophoist/api/engineapi"
 	"github.com/hyssophoist/hyssophoist/core/errkind"
+	"github.com/hyssophoist/hyssophoist/internal/httpstatus"
 	"github.com/hyssophoist/hyssophoist/internal/targethttp"
 )
 
@@ -102,6 +103,9 @@
 	if err != nil {
 		return nil, callError(ctx, err, true)
 	}
+	if !httpstatus.IsFinal(response.StatusCode) {
+		return nil, errkind.New(errkind.TargetFailed, "service responded with invalid status %d", response.StatusCode)
+	}
 	if len(body) > MaxResponseBytes {
 		return nil, errkind.New(errkind.TargetFailed, "service response exceeds %d bytes", MaxResponseBytes)
 	}
