Relay a request as soon as its instance is known to be isolated

A call tried up to three targets, each for 0.3 of its time, and then waited for a check, although its instance was known to be isolated by then; a check took up to 350 ms; and instances that had been killed were left out for 2 s, though they were back after half a second, so that 266 streams were refused in that time. Change: no further target is tried once the call may be relayed, and no check awaited; the targets of a check are asked 20 ms apart for 100 ms; an instance is left out for 0.5 s; the timer holds the service only.

--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -19,10 +19,9 @@
 	MaxTries = 6
 	// maxTriesInZone is how many of them may be in the zone of this instance: often a whole zone is isolated.
 	maxTriesInZone = 2
-	// refusedTime and unreachableTime are how long an instance is left out that has refused a request, and one to which no
-	// connection could be opened.
-	refusedTime     = 500 * time.Millisecond
-	unreachableTime = 2 * time.Second
+	// leftOutTime is how long an instance is left out that has refused a request, or to which no connection could be opened. A
+	// process that was killed is back in about this time.
+	leftOutTime = 500 * time.Millisecond
 	// otherZoneFactor is the cost of an instance of another zone, relative to one of the own zone with as many requests.
 	otherZoneFactor = 1.5
 )
@@ -44,8 +43,8 @@
 
 type state struct {
 	// inProgress counts the requests relayed to the instance that have not ended.
-	inProgress int
-	leftOut    time.Time
+	inProgress   int
+	leftOutUntil time.Time
 }
 
 // New returns the table of an instance in a zone. random returns numbers in [0, 1).
@@ -83,7 +82,7 @@
 			continue
 		}
 		s := t.peers[peer.ID]
-		if s != nil && now.Before(s.leftOut) {
+		if s != nil && now.Before(s.leftOutUntil) {
 			continue
 		}
 		cost := 1 + t.random()/2 // the random part spreads requests over instances with equally many
@@ -116,20 +115,16 @@
 // Release records that a request that was offered to an instance has ended there.
 func (t *Table) Release(id entity.DaemonID) { t.get(id).inProgress-- }
 
-// RecordRefused records that an instance has refused a request because it is isolated itself or stops.
-func (t *Table) RecordRefused(now time.Time, id entity.DaemonID) {
-	t.get(id).leftOut = now.Add(refusedTime)
-}
-
-// RecordUnreachable records that no connection to an instance could be opened.
-func (t *Table) RecordUnreachable(now time.Time, id entity.DaemonID) {
-	t.get(id).leftOut = now.Add(unreachableTime)
+// LeaveOut records that an instance has refused a request, since it is isolated itself or stops, or that no connection to it could
+// be opened.
+func (t *Table) LeaveOut(now time.Time, id entity.DaemonID) {
+	t.get(id).leftOutUntil = now.Add(leftOutTime)
 }
 
 // Prune forgets instances without requests that are no longer left out.
 func (t *Table) Prune(now time.Time) {
 	for id, s := range t.peers {
-		if s.inProgress == 0 && !now.Before(s.leftOut) {
+		if s.inProgress == 0 && !now.Before(s.leftOutUntil) {
 			delete(t.peers, id)
 		}
 	}
--- a/core/relay/relay_test.go
+++ b/core/relay/relay_test.go
@@ -56,7 +56,7 @@
 			if peer.Zone == "b" {
 				return offers, true
 			}
-			table.RecordRefused(now, peer.ID)
+			table.LeaveOut(now, peer.ID)
 		}
 	}
 	for n := range 30 {
@@ -65,7 +65,7 @@
 			t.Fatalf("request %d: served %v after %d offers", n, served, offers)
 		}
 	}
-	now = now.Add(refusedTime)
+	now = now.Add(leftOutTime)
 	if offers, _ := offer(); offers == 1 {
 		t.Error("instances that refused are never asked again")
 	}
@@ -80,12 +80,12 @@
 	for peer, found := table.Choose(now, peers, &tried); found; peer, found = table.Choose(now, peers, &tried) {
 		offers++
 		table.Release(peer.ID)
-		table.RecordUnreachable(now, peer.ID)
+		table.LeaveOut(now, peer.ID)
 	}
 	if offers != MaxTries {
 		t.Errorf("%d offers, want %d", offers, MaxTries)
 	}
-	table.Prune(now.Add(unreachableTime))
+	table.Prune(now.Add(leftOutTime))
 	if len(table.peers) != 0 {
 		t.Errorf("%d instances are remembered for ever", len(table.peers))
 	}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -61,13 +61,13 @@
 // most headTimeout. newConn requests a new connection instead of one from the pool. An error that wraps errNotSent
 // means that the target has not received the request.
 func (g *Gateway) send(ctx context.Context, attempt *Attempt, newConn bool, headTimeout time.Duration) (*exchange, error) {
-	begunAt := time.Now()
-	slow := time.AfterFunc(slowDialTime, func() { g.recordLinkFailure(attempt.Target.Service) })
+	begunAt, service := time.Now(), attempt.Target.Service
+	slow := time.AfterFunc(slowDialTime, func() { g.recordLinkFailure(service) }) // must not hold the body of the call
 	conn, err := g.options.Pool.Get(ctx, attempt.Target.Address, newConn, dispatch.ConnectTimeout(headTimeout))
 	slow.Stop()
 	if err != nil {
 		if ctx.Err() == nil {
-			g.recordLinkFailure(attempt.Target.Service)
+			g.recordLinkFailure(service)
 		}
 		return nil, fmt.Errorf("%w: %w", errNotSent, err)
 	}
--- a/internal/gateway/isolation.go
+++ b/internal/gateway/isolation.go
@@ -15,10 +15,11 @@
 	// linkCheckTick is the time between two looks whether services are to be checked.
 	linkCheckTick = 50 * time.Millisecond
 	// linkCheckTimeout bounds the connections of a check. Targets are at most a few milliseconds away.
-	linkCheckTimeout = 150 * time.Millisecond
-	// maxCheckTime bounds a check, whose connections are opened in two steps; checkPollInterval is the time between two looks
-	// whether it has ended.
-	maxCheckTime      = 2*linkCheckTimeout + linkCheckTick
+	linkCheckTimeout = 100 * time.Millisecond
+	// moreTargetsDelay is the time without an accepted connection after which a check connects to more targets.
+	moreTargetsDelay = 20 * time.Millisecond
+	// maxCheckTime bounds the wait for a check; checkPollInterval is the time between two looks whether it has ended.
+	maxCheckTime      = moreTargetsDelay + linkCheckTimeout + linkCheckTick
 	checkPollInterval = 2 * time.Millisecond
 	// slowDialTime is the time without a connection after which the links are checked, before the dial times out.
 	slowDialTime = 50 * time.Millisecond
@@ -98,7 +99,15 @@
 	targets := g.dispatcher.Fleet.SampleTargets(boottime.Now(), service, maxCheckTargets, rand.IntN)
 	g.mu.Unlock()
 	first := min(firstCheckTargets, len(targets))
-	accepted := g.anyAccepts(ctx, targets[:first], linkCheckTimeout) || g.anyAccepts(ctx, targets[first:], linkCheckTimeout)
+	firstAccepts := make(chan bool, 1)
+	go func() { firstAccepts <- g.anyAccepts(ctx, targets[:first], linkCheckTimeout) }()
+	accepted := false
+	select {
+	case accepted = <-firstAccepts:
+		accepted = accepted || g.anyAccepts(ctx, targets[first:], linkCheckTimeout)
+	case <-time.After(moreTargetsDelay):
+		accepted = g.anyAccepts(ctx, targets[first:], linkCheckTimeout) || <-firstAccepts
+	}
 	if ctx.Err() != nil {
 		return
 	}
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -130,7 +130,7 @@
 				c.newConn = true
 				delete(c.tried, outcome.target.ID)
 			}
-			if retry && c.attemptsCtx.Err() == nil && c.hasTime(ctx) && c.mayBeginAttempt() && c.takeRetry() {
+			if retry && c.hasTime(ctx) && !c.mayRelay() && c.mayBeginAttempt() && c.takeRetry() {
 				c.beginAttempt()
 			}
 		}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -142,7 +142,7 @@
 // reachedNoTarget reports whether to relay a request whose last attempt was not sent, or was cancelled. It waits for the check that
 // shows whether this instance is isolated.
 func (q *request) reachedNoTarget(ctx context.Context) bool {
-	if q.gateway.relays != nil && errors.Is(q.lastErr, errNotSent) {
+	if !q.mayRelay() && q.gateway.relays != nil && errors.Is(q.lastErr, errNotSent) {
 		q.gateway.awaitLinkCheck(ctx, q.service.ID)
 	}
 	return q.mayRelay()
@@ -173,16 +173,15 @@
 			return &relayedExchange{exchange: x, peer: peer, release: func() { r.release(peer) }}, nil
 		}
 		r.release(peer)
-		switch {
-		case err == nil: // isolated too, or stopping
+		if err != nil && !errors.Is(err, errNotSent) {
+			return nil, fmt.Errorf("%w: %w", errPeerFailed, err)
+		}
+		if err == nil { // isolated too, or stopping
 			x.abort()
-			r.record((*relay.Table).RecordRefused, peer)
-		case errors.Is(err, errNotSent):
+		} else {
 			log.Debugf("instance %s is not reached: %v", peer.ID, err)
-			r.record((*relay.Table).RecordUnreachable, peer)
-		default:
-			return nil, fmt.Errorf("%w: %w", errPeerFailed, err)
 		}
+		r.leaveOut(peer)
 	}
 	r.refused.Add(1)
 	return nil, errNoPeer
@@ -201,10 +200,10 @@
 	r.table.Prune(time.Now())
 }
 
-func (r *relayer) record(f func(*relay.Table, time.Time, entity.DaemonID), peer relay.Peer) {
+func (r *relayer) leaveOut(peer relay.Peer) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	f(r.table, time.Now(), peer.ID)
+	r.table.LeaveOut(time.Now(), peer.ID)
 }
 
 // offer sends the request to another instance, on a connection of its own, and reads the head of the response.
