--- a/internal/edge/begun_test.go
+++ b/internal/edge/begun_test.go
@@ -113,8 +113,7 @@
 			for _, engine := range d.engines {
 				engine.SetFaults(test.first)
 			}
-			got := make(chan result, 1)
-			go func() { got <- d.stream(daemon, "begun") }()
+			got := d.start(func() result { return d.stream(daemon, "begun") })
 			d.waitUntil("the stream runs", func() bool { return len(d.runsOf("begun")) > 0 })
 			for _, engine := range d.engines {
 				engine.UpdateFaults(func(f *edgeplatform.TargetFaults) { f.BreakAfter = 0 })
@@ -134,8 +133,7 @@
 	for _, engine := range d.engines {
 		engine.SetFaults(edgeplatform.TargetFaults{BreakAfter: 3, FirstEventDelay: delay})
 	}
-	got := make(chan result, 1)
-	go func() { got <- d.stream(daemon, "begun") }()
+	got := d.start(func() result { return d.stream(daemon, "begun") })
 	d.awaitRuns("begun", 1)
 	for _, engine := range d.engines {
 		engine.SetFaults(edgeplatform.TargetFaults{FirstEventDelay: delay})
@@ -157,8 +155,7 @@
 	for _, engine := range d.engines {
 		engine.SetFaults(edgeplatform.TargetFaults{BreakAfter: 5})
 	}
-	got := make(chan result, 1)
-	go func() { got <- d.stream(daemon, "begun") }()
+	got := d.start(func() result { return d.stream(daemon, "begun") })
 	d.waitUntil("the stream runs", func() bool { return len(d.runsOf("begun")) > 0 })
 	for _, engine := range d.engines {
 		engine.SetFaults(edgeplatform.TargetFaults{})
--- a/internal/edge/deployment_test.go
+++ b/internal/edge/deployment_test.go
@@ -237,6 +237,13 @@
 	}
 }
 
+// start makes a request in the background. Its result follows on the channel.
+func (d *deployment) start(request func() result) <-chan result {
+	got := make(chan result, 1)
+	go func() { got <- request() }()
+	return got
+}
+
 func (d *deployment) stream(daemon *Daemon, id string) result {
 	return d.call(daemon, http.MethodPost, "/gen/1", id, "key-1", "prompt")
 }
--- a/internal/edge/ended_test.go
+++ b/internal/edge/ended_test.go
@@ -57,8 +57,7 @@
 			for _, engine := range d.engines {
 				engine.SetFaults(stall)
 			}
-			got := make(chan result, 1)
-			go func() { got <- d.stream(daemon, "begun") }()
+			got := d.start(func() result { return d.stream(daemon, "begun") })
 			end(d, d.awaitRuns("begun", 1))
 			second := d.awaitRuns("begun", 2)
 			for _, engine := range d.engines {
@@ -84,8 +83,7 @@
 	for _, target := range d.plain {
 		target.SetFaults(edgeplatform.TargetFaults{Hang: true})
 	}
-	got := make(chan result, 1)
-	go func() { got <- d.call(daemon, http.MethodGet, "/read/1", "look", "key-1", "") }()
+	got := d.start(func() result { return d.call(daemon, http.MethodGet, "/read/1", "look", "key-1", "") })
 	d.awaitRuns("look", 1).Close()
 	second := d.awaitRuns("look", 2)
 	for _, target := range d.plain {
@@ -105,8 +103,7 @@
 	for _, target := range d.plain {
 		target.SetFaults(edgeplatform.TargetFaults{Hang: true})
 	}
-	got := make(chan result, 1)
-	go func() { got <- d.call(daemon, http.MethodPost, "/post/1", "post", "key-1", "body") }()
+	got := d.start(func() result { return d.call(daemon, http.MethodPost, "/post/1", "post", "key-1", "body") })
 	d.awaitRuns("post", 1).Close()
 	if answer := <-got; answer.status != http.StatusBadGateway {
 		t.Errorf("answer %+v", answer)
@@ -133,8 +130,7 @@
 			for _, engine := range d.engines {
 				engine.SetFaults(broken)
 			}
-			got := make(chan result, 1)
-			go func() { got <- d.stream(daemon, "begun") }()
+			got := d.start(func() result { return d.stream(daemon, "begun") })
 			d.awaitRuns("begun", 3)
 			for _, engine := range d.engines {
 				engine.SetFaults(edgeplatform.TargetFaults{})
@@ -168,8 +164,7 @@
 	for _, engine := range d.engines {
 		engine.SetFaults(edgeplatform.TargetFaults{StallAfter: 3})
 	}
-	got := make(chan result, 1)
-	go func() { got <- d.stream(daemon, "begun") }()
+	got := d.start(func() result { return d.stream(daemon, "begun") })
 	running := d.awaitRuns("begun", 1)
 	for _, engine := range d.engines {
 		engine.SetFaults(edgeplatform.TargetFaults{})
@@ -192,8 +187,7 @@
 	for _, engine := range d.engines {
 		engine.SetFaults(edgeplatform.TargetFaults{FirstEventDelay: waitLimit})
 	}
-	got := make(chan result, 1)
-	go func() { got <- d.stream(daemon, "deadly") }()
+	got := d.start(func() result { return d.stream(daemon, "deadly") })
 	d.awaitRuns("deadly", 1).Close()
 	d.awaitRuns("deadly", 2).Close()
 	if answer := <-got; answer.status != http.StatusBadGateway {
@@ -213,8 +207,7 @@
 	for _, engine := range d.engines {
 		engine.SetFaults(edgeplatform.TargetFaults{StallAfter: 3})
 	}
-	got := make(chan result, 1)
-	go func() { got <- d.stream(daemon, "begun") }()
+	got := d.start(func() result { return d.stream(daemon, "begun") })
 	d.awaitRuns("begun", 1).Close()
 	second := d.awaitRuns("begun", 2)
 	ended := time.Now()
--- a/internal/edge/kept_test.go
+++ b/internal/edge/kept_test.go
@@ -72,8 +72,7 @@
 	for _, engine := range d.engines {
 		engine.SetFaults(edgeplatform.TargetFaults{CommentFirst: true, FirstEventDelay: 100 * time.Millisecond})
 	}
-	got := make(chan result, 1)
-	go func() { got <- d.stream(daemon, "commented") }()
+	got := d.start(func() result { return d.stream(daemon, "commented") })
 	d.waitUntil("the stream runs", func() bool { return len(d.runsOf("commented")) > 0 })
 	time.Sleep(30 * time.Millisecond)
 	for _, engine := range d.engines {
--- a/internal/edge/relay_test.go
+++ b/internal/edge/relay_test.go
@@ -85,8 +85,7 @@
 	for _, target := range d.plain {
 		target.SetFaults(edgeplatform.TargetFaults{Hang: true})
 	}
-	got := make(chan result, 1)
-	go func() { got <- d.call(d.daemons[0], http.MethodPost, "/post/1", "posting", "key-1", "body") }()
+	got := d.start(func() result { return d.call(d.daemons[0], http.MethodPost, "/post/1", "posting", "key-1", "body") })
 	d.awaitRuns("posting", 1)
 	for index := range d.daemons[1:] {
 		if d.daemons[index+1].gateway.RelayedInProgress() > 0 {
@@ -116,8 +115,7 @@
 	for _, target := range d.plain {
 		target.SetFaults(edgeplatform.TargetFaults{Hang: true})
 	}
-	got := make(chan result, 1)
-	go func() { got <- d.call(d.daemons[0], http.MethodGet, "/read/1", "look", "key-1", "") }()
+	got := d.start(func() result { return d.call(d.daemons[0], http.MethodGet, "/read/1", "look", "key-1", "") })
 	d.awaitRuns("look", 1)
 	for _, target := range d.plain {
 		target.SetFaults(edgeplatform.TargetFaults{FailStatus: http.StatusInternalServerError})
@@ -206,8 +204,7 @@
 	for _, target := range d.plain {
 		target.SetFaults(edgeplatform.TargetFaults{SilentInBody: 3500 * time.Millisecond})
 	}
-	got := make(chan result, 1)
-	go func() { got <- d.call(d.daemons[0], http.MethodPost, "/post/1", "posting", "key-1", "body") }()
+	got := d.start(func() result { return d.call(d.daemons[0], http.MethodPost, "/post/1", "posting", "key-1", "body") })
 	d.awaitRuns("posting", 1)
 	stopping := 1
 	if d.daemons[2].gateway.RelayedInProgress() > 0 {
