Bound the requests that other instances relay to one in touch

Cause: most instances can lose their links at once; the few that are left took any number of relayed requests, each with a connection to its target, out of the descriptors for the connections of their own callers and to targets. Change: an eighth of the descriptors for connections is for relayed requests; one more is refused as by an isolated instance, and goes elsewhere.

--- a/internal/edge/callerlimits.go
+++ b/internal/edge/callerlimits.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/hyssophoist/hyssophoist/internal/callerconn"
+	"github.com/hyssophoist/hyssophoist/internal/settings"
 )
 
 const (
@@ -19,6 +20,9 @@
 	// callerDescriptorRatio is the part of the other descriptors for connections of callers: a request in progress needs another
 	// connection, to its target.
 	callerDescriptorRatio = 0.5
+	// relayedDescriptorRatio is the part of the same descriptors for connections of other instances that relay requests, so that
+	// these do not take the place of the callers of this instance.
+	relayedDescriptorRatio = 0.125
 	// callerMemoryRatio is the memory for connections of callers as a fraction of the memory of the process. An instance with
 	// 184 MB then has room for 1,400 connections that are idle, and each process for 360.
 	callerMemoryRatio = 0.3
@@ -60,14 +64,14 @@
 // callerLimits returns the limits on the connections of callers.
 func (d *Daemon) callerLimits() callerconn.Limits {
 	return callerconn.Limits{
-		Connections: maxCallerConnections(d.descriptors()), Memory: memoryShare(d.settings, callerMemoryRatio),
+		Connections: maxCallerConnections(descriptors(d.settings)), Memory: memoryShare(d.settings, callerMemoryRatio),
 		Head: d.headLimits, OnShed: d.recordShed,
 	}
 }
 
 // descriptors returns the number of descriptors that the process may use.
-func (d *Daemon) descriptors() int {
-	limit := d.settings.MaxFDs
+func descriptors(s *settings.Edge) int {
+	limit := s.MaxFDs
 	var process syscall.Rlimit
 	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &process); err != nil {
 		log.Errorf("failed to read the limit of descriptors: %v", err)
@@ -85,8 +89,20 @@
 	if descriptors <= 0 {
 		return 0
 	}
-	reserved := min(reservedDescriptors, int(maxReservedRatio*float64(descriptors)))
-	return max(1, int(callerDescriptorRatio*float64(descriptors-reserved)))
+	return max(1, int(callerDescriptorRatio*connectionDescriptors(descriptors)))
+}
+
+// maxRelayedRequests returns how many relayed requests may be in progress, 0 for no limit.
+func maxRelayedRequests(descriptors int) int {
+	if descriptors <= 0 {
+		return 0
+	}
+	return max(1, int(relayedDescriptorRatio*connectionDescriptors(descriptors)))
+}
+
+// connectionDescriptors returns how many of a number of descriptors are for connections.
+func connectionDescriptors(descriptors int) float64 {
+	return float64(descriptors - min(reservedDescriptors, int(maxReservedRatio*float64(descriptors))))
 }
 
 // headLimits returns the maximum size of the head of a request and the time for it.
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -151,7 +151,10 @@
 	m.registerLeaving(g)
 	g.OnCrash(sharer.Announce)
 	if s.Relay != "" {
-		g.RelayTo(gateway.RelayOptions{Self: entity.DaemonID(s.Daemon), Peers: sharer.RelayPeers, Pool: connpool.New()})
+		g.RelayTo(gateway.RelayOptions{
+			Self: entity.DaemonID(s.Daemon), Peers: sharer.RelayPeers, Pool: connpool.New(),
+			MaxAccepted: maxRelayedRequests(descriptors(s)),
+		})
 	}
 	followLeaving(s, g, engines)
 	d := &Daemon{
--- a/internal/edge/relay_test.go
+++ b/internal/edge/relay_test.go
@@ -289,3 +289,45 @@
 		return len(daemon.sharer.RelayPeers()) == len(d.links) && len(d.daemons[0].sharer.RelayPeers()) == len(d.links)
 	})
 }
+
+// TestRelayedRequestsAreBounded guards against callers of an instance in touch that lose their connections because other instances relay
+// more requests to it than it has descriptors for.
+func TestRelayedRequestsAreBounded(t *testing.T) {
+	t.Parallel()
+	const descriptors, offered = 300, 60
+	limit := maxRelayedRequests(descriptors)
+	if limit < 1 || limit >= offered {
+		t.Fatalf("%d relayed requests for %d descriptors", limit, descriptors)
+	}
+	d := newDeployment(t)
+	links := newTargetLinks(t)
+	isolated := d.addDaemonWithLinks(links)
+	settings := d.daemonSettings("a")
+	settings.MaxFDs = descriptors
+	inTouch := d.startDaemon(settings)
+	d.waitUntil("the instances know each other", func() bool {
+		return inTouch.notReadyReason() == "" && len(isolated.sharer.RelayPeers()) == 1 && len(inTouch.sharer.RelayPeers()) == 1
+	})
+	links.cut(linksRefuse, (*faultproxy.Proxy).Reset)
+	d.waitUntil("a call is served", func() bool {
+		return d.call(isolated, http.MethodPost, "/post/1", "find-out", "key-1", "").status == http.StatusOK
+	})
+	for _, target := range d.plain {
+		target.SetFaults(edgeplatform.TargetFaults{Hang: true})
+	}
+	var results []<-chan result
+	for n := range offered {
+		results = append(results, d.start(func() result {
+			return d.call(isolated, http.MethodPost, "/post/1", fmt.Sprint("held-", n), "key-1", "")
+		}))
+	}
+	refused := 0
+	for _, got := range results {
+		if (<-got).status == http.StatusServiceUnavailable {
+			refused++
+		}
+	}
+	if taken := offered - refused; taken != limit {
+		t.Errorf("%d of %d requests were taken, want %d", taken, offered, limit)
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -107,8 +107,9 @@
 	// links shows from which services this instance is isolated; checkLinks has CheckLinks look for due checks at once.
 	links      *isolation.Detector
 	checkLinks chan struct{}
-	// relays is set by RelayTo; nil if this instance relays no requests.
-	relays *relayer
+	// relays is set by RelayTo; nil if this instance relays no requests. relayed counts those in progress of other instances.
+	relays  *relayer
+	relayed atomic.Int64
 }
 
 // New returns a gateway without a configuration.
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -42,6 +42,8 @@
 	Peers func() []relay.Peer
 	// Pool opens connections to other instances.
 	Pool *connpool.Pool
+	// MaxAccepted is the maximum number of requests in progress that other instances have relayed to this one; 0 for no limit.
+	MaxAccepted int
 }
 
 // relayer relays requests to other instances.
@@ -99,26 +101,32 @@
 }
 
 // RelayedInProgress returns the number of requests in progress that other instances have relayed.
-func (g *Gateway) RelayedInProgress() (count int) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	for q := range g.requests {
-		if q.relay != nil {
-			count++
-		}
-	}
-	return count
-}
+func (g *Gateway) RelayedInProgress() int { return int(g.relayed.Load()) }
 
-// refuseRelay refuses the request of another instance if this one cannot serve it either, or stops, and reports whether it does.
-// The other instance then tries others, so that this refusal reaches no caller.
-func (q *request) refuseRelay() bool {
-	if q.relay == nil || q.gateway.stop.Load() == nil && q.service != nil && !q.gateway.isolated(q.service.ID) {
+// takeRelayed counts the request of another instance as in progress here, if this one can serve it. It reports false if not;
+// otherwise endRelayed must follow.
+func (q *request) takeRelayed() bool {
+	g := q.gateway
+	if g.stop.Load() != nil || g.isolated(q.service.ID) {
+		return false
+	}
+	count, limit := g.relayed.Add(1), 0
+	if g.relays != nil {
+		limit = g.relays.options.MaxAccepted
+	}
+	if limit > 0 && count > int64(limit) {
+		g.relayed.Add(-1)
 		return false
 	}
+	return true
+}
+
+func (q *request) endRelayed() { q.gateway.relayed.Add(-1) }
+
+// refuseRelayed refuses the request of another instance, which then tries others, so that this refusal reaches no caller.
+func (q *request) refuseRelayed() {
 	log.Debugf("refused request %s that instance %s relays", q.ID, q.relay.from)
 	q.gateway.options.Codec.WriteError(q.writer, q.ID, errkind.RelayRefused, 0)
-	return true
 }
 
 // limitRelayedAttempts keeps a relayed request from running on more targets than the other instance has left.
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -101,19 +101,25 @@
 // serve admits the request, sets its deadline and has it served by targets.
 func (q *request) serve() {
 	if kind, ok := q.admit(); !ok {
-		if kind != errkind.NoConfiguration || !q.refuseRelay() {
-			q.endWithError(kind)
+		if kind == errkind.NoConfiguration && q.relay != nil {
+			q.refuseRelayed()
+			return
 		}
+		q.endWithError(kind)
 		return
 	}
+	if q.relay != nil {
+		if !q.takeRelayed() {
+			q.refuseRelayed()
+			return
+		}
+		defer q.endRelayed()
+	}
 	longest := longestTime(q.route)
 	limit, timeout := longest, longest
 	if q.Timeout > 0 {
 		limit, timeout = min(limit, q.Timeout), min(timeout, dispatch.ResponseTimeout(q.Timeout))
 	}
-	if q.refuseRelay() {
-		return
-	}
 	if !q.gateway.takes(limit) {
 		q.endWithError(errkind.Stopping)
 		return
