Say in the explanation of a route that requests are relayed

Cause: hyssophoistctl route at an instance that has lost its links listed targets as suspected and predicted a refusal, though the request would be relayed. Change: the explanation has isolated and relay_peers, the command prints a line for them. Result: TestExplanationNamesIsolation and the tests of the command pass.

--- a/api/edgeapi/edgeapi.go
+++ b/api/edgeapi/edgeapi.go
@@ -48,6 +48,10 @@
 	Plain      *dispatch.PlainExplanation      `json:"plain,omitempty"`
 	// ShedShare is the part of the generations of this rank that is refused at once, as overloaded, because the service is.
 	ShedShare float64 `json:"shed_share"`
+	// Isolated reports whether this instance has lost its links to the targets of the service. It then relays the request to one of
+	// RelayPeers other instances, and the targets and paths say nothing.
+	Isolated   bool `json:"isolated"`
+	RelayPeers int  `json:"relay_peers,omitempty"`
 	// Refused reports whether there is no path or target now. A generation waits for a path for up to a second before it is
 	// refused. Refusal is what a refusal would say, also if Refused is false.
 	Refused bool    `json:"refused"`
--- a/internal/cli/route.go
+++ b/internal/cli/route.go
@@ -114,6 +114,9 @@
 	if e.Plain != nil {
 		r.printPlain(e.Plain)
 	}
+	if e.Isolated {
+		r.printf("the instance reaches none of the targets: it relays requests to one of %d other instances\n", e.RelayPeers)
+	}
 	if e.ShedShare > 0 {
 		r.printf("the service is overloaded: %.0f%% of the requests of this rank are refused at once\n", 100*e.ShedShare)
 	}
--- a/internal/edge/relay_test.go
+++ b/internal/edge/relay_test.go
@@ -8,8 +8,10 @@
 	"testing"
 	"time"
 
+	"github.com/hyssophoist/hyssophoist/api/edgeapi"
 	"github.com/hyssophoist/hyssophoist/internal/emulator/edgeplatform"
 	"github.com/hyssophoist/hyssophoist/internal/faultproxy"
+	"github.com/hyssophoist/hyssophoist/internal/gateway"
 )
 
 // isolatedDeployment is a deployment with instances whose links to targets can be cut.
@@ -331,3 +333,26 @@
 		t.Errorf("%d of %d requests were taken, want %d", taken, offered, limit)
 	}
 }
+
+// TestExplanationNamesIsolation guards against an explanation that sends operators to sound targets although the instance has lost its links.
+func TestExplanationNamesIsolation(t *testing.T) {
+	t.Parallel()
+	d := newIsolatedDeployment(t, 2)
+	explain := func(route string) edgeapi.RouteExplanation {
+		explanation, err := d.daemons[0].gateway.ExplainRoute(gateway.RouteQuery{Route: route})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return *explanation
+	}
+	for _, isolated := range []bool{false, true} {
+		if isolated {
+			d.isolate(0, linksRefuse, (*faultproxy.Proxy).Reset)
+		}
+		for _, route := range []string{"read", "gen"} {
+			if e := explain(route); e.Isolated != isolated || e.RelayPeers != map[bool]int{true: 1}[isolated] || e.Refused {
+				t.Errorf("isolated %v: %s isolated %v, %d other instances, refused %v", isolated, route, e.Isolated, e.RelayPeers, e.Refused)
+			}
+		}
+	}
+}
--- a/internal/gateway/explainroute.go
+++ b/internal/gateway/explainroute.go
@@ -136,6 +136,10 @@
 	if age < 0 {
 		explanation.SharedLoads.AgeSeconds = -1
 	}
+	if servable && g.isolated(q.service.ID) {
+		explanation.Isolated, explanation.RelayPeers = true, g.countRelayPeers()
+		explanation.Refused, refusal, after = explanation.RelayPeers == 0, errkind.NoCapacity, 0
+	}
 	if !g.takes(longestTime(q.route)) {
 		explanation.Refused, refusal, after = true, errkind.Stopping, 0
 	}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -79,6 +79,14 @@
 	return g.relays.sent.Load(), g.relays.refused.Load()
 }
 
+// countRelayPeers returns the number of other instances that are known to take relayed requests.
+func (g *Gateway) countRelayPeers() int {
+	if g.relays == nil {
+		return 0
+	}
+	return len(g.relays.options.Peers())
+}
+
 // RelayHandler returns the handler for requests that other instances relay. They are served like those of callers, with the
 // caller's own API key, but not relayed again.
 func (g *Gateway) RelayHandler() http.Handler {
