Place layers for a zone whose collector is isolated

Cause: only collectors plan placements. The lease went round among the collectors of all zones, each of which was isolated, while a member that reaches the engines never asked for it. An isolated holder also kept the lease for orders whose confirmation it could not see. Change: members tell their collector that they are isolated; it names the member that plans for the zone. An isolated instance gives up the lease at once.

--- a/core/loadshare/loadshare.go
+++ b/core/loadshare/loadshare.go
@@ -96,6 +96,8 @@
 	Loads Loads
 	// ReadsFailing reports whether the member cannot read the store.
 	ReadsFailing bool
+	// Isolated reports whether the member has lost its links to the targets of a service.
+	Isolated bool
 }
 
 // member is an entry of the table.
@@ -180,11 +182,23 @@
 // that can read the store, beginning with this instance, the collector. ownReadsFailing reports whether this one
 // cannot.
 func (t *Table) Reader(now time.Time, ownReadsFailing bool) Member {
-	if !ownReadsFailing {
+	return t.firstWithout(now, ownReadsFailing, func(r Report) bool { return r.ReadsFailing })
+}
+
+// Placer returns the member that plans placements for this instance's zone: the first one in contact that is not isolated from
+// engines, beginning with this instance, the collector. ownIsolated reports whether this one is.
+func (t *Table) Placer(now time.Time, ownIsolated bool) Member {
+	return t.firstWithout(now, ownIsolated, func(r Report) bool { return r.Isolated })
+}
+
+// firstWithout returns this instance, unless it has a failure, or the first other member in contact whose report has none. If all
+// have it, the result is this instance.
+func (t *Table) firstWithout(now time.Time, own bool, failure func(Report) bool) Member {
+	if !own {
 		return t.self
 	}
 	for _, candidate := range t.InContact(now) {
-		if !t.members[candidate.ID].report.ReadsFailing {
+		if !failure(t.members[candidate.ID].report) {
 			return candidate
 		}
 	}
@@ -224,12 +238,17 @@
 	if t.Collector(now).ID != t.self.ID {
 		return 0, false
 	}
+	return t.RankOfCollector(now, t.self.ID), true
+}
+
+// RankOfCollector returns the number of collectors of other zones with a lower ID than that of the collector of this instance's zone.
+func (t *Table) RankOfCollector(now time.Time, id entity.DaemonID) (rank int) {
 	for _, collector := range t.OtherCollectors(now) {
-		if collector.ID < t.self.ID {
+		if collector.ID < id {
 			rank++
 		}
 	}
-	return rank, true
+	return rank
 }
 
 // RecordContact records that an instance has answered or called, which ends its backoff.
--- a/core/loadshare/loadshare_test.go
+++ b/core/loadshare/loadshare_test.go
@@ -174,3 +174,29 @@
 		t.Errorf("others share %v", links)
 	}
 }
+
+// TestPlacerReplacesIsolatedCollector guards against placements that nobody plans because the collector of a zone is isolated, and against
+// ones that an isolated member or one without contact is to plan.
+func TestPlacerReplacesIsolatedCollector(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		own      bool
+		isolated map[entity.DaemonID]bool
+		want     entity.DaemonID
+	}{
+		{"collector in touch", false, map[entity.DaemonID]bool{"a2": true}, "a1"},
+		{"collector isolated", true, map[entity.DaemonID]bool{"a2": false, "a3": false}, "a2"},
+		{"next one isolated too", true, map[entity.DaemonID]bool{"a2": true, "a3": false}, "a3"},
+		{"next one without contact", true, map[entity.DaemonID]bool{"a3": false}, "a3"},
+		{"all isolated", true, map[entity.DaemonID]bool{"a2": true, "a3": true}, "a1"},
+	} {
+		table := New(Member{ID: "a1", Zone: "a"})
+		table.Add(Member{ID: "a2", Zone: "a"}, Member{ID: "a3", Zone: "a"}, Member{ID: "b1", Zone: "b"})
+		for id, isolated := range test.isolated {
+			table.SetReport(start, Member{ID: id, Zone: "a"}, Report{Isolated: isolated})
+		}
+		if got := table.Placer(start, test.own).ID; got != test.want {
+			t.Errorf("%s: %s, want %s", test.name, got, test.want)
+		}
+	}
+}
--- a/internal/edge/relay_test.go
+++ b/internal/edge/relay_test.go
@@ -356,3 +356,16 @@
 		}
 	}
 }
+
+// TestMemberPlacesLayersForIsolatedCollector guards against engines that keep layers missing because all collectors are isolated, although
+// another instance of a zone reaches the engines.
+func TestMemberPlacesLayersForIsolatedCollector(t *testing.T) {
+	t.Parallel()
+	d := newIsolatedDeployment(t, 2)
+	d.isolate(0, linksRefuse, (*faultproxy.Proxy).Reset)
+	for _, engine := range d.engines[:2] {
+		engine.Restart()
+		d.register(engine, "ready")
+	}
+	d.waitUntil("the zone holds the model again", func() bool { return countHeldLayers(d.engines[:2]) == modelLayers })
+}
--- a/internal/gateway/isolation.go
+++ b/internal/gateway/isolation.go
@@ -69,6 +69,9 @@
 	}
 }
 
+// Isolated reports whether this instance has lost its links to the targets of a service.
+func (g *Gateway) Isolated() bool { return g.IsolatedServices() > 0 }
+
 // CheckLinks finds out whether this instance has lost its links to targets, until ctx ends.
 func (g *Gateway) CheckLinks(ctx context.Context) {
 	ticker := time.NewTicker(linkCheckTick)
--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -83,6 +83,8 @@
 	// Tables, if set, lets the instances pass on the changes of the store's tables, and detect that one of them no
 	// longer receives changes.
 	Tables Tables
+	// Isolated, if set, reports whether this instance has lost its links to the targets of a service.
+	Isolated func() bool
 	// Listen opens the peer listener at Self.Address; net.Listen if nil.
 	Listen func(network, address string) (net.Listener, error)
 }
@@ -108,6 +110,8 @@
 	// collectorStates describes the copies of the instance collectorID, the collector that last replied.
 	collectorID     entity.DaemonID
 	collectorStates *TableStates
+	// placerID is the instance that the collector last named as the one that plans placements for the zone.
+	placerID entity.DaemonID
 }
 
 // New returns a sharer, which does nothing until Run is called.
@@ -123,14 +127,26 @@
 	}
 }
 
-// CollectorRank returns the rank of this instance among the collectors of all zones, as far as it knows. It reports
-// false if this instance is not a collector.
-func (s *Sharer) CollectorRank() (rank int, isCollector bool) {
+// PlacementRank returns the number of instances that should plan placements before this one, as far as it knows. It reports false if
+// this one should not: it is not the collector of its zone, or is isolated. The collector of a zone that is isolated is replaced by
+// the first member in contact with it that is not.
+func (s *Sharer) PlacementRank() (rank int, candidate bool) {
+	if s.isolated() {
+		return 0, false
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.table.CollectorRank(time.Now())
+	now := time.Now()
+	if rank, isCollector := s.table.CollectorRank(now); isCollector {
+		return rank, true
+	}
+	collector := s.table.Collector(now).ID
+	replaces := s.placerID == s.options.Self.ID && s.collectorID == collector
+	return s.table.RankOfCollector(now, collector), replaces
 }
 
+func (s *Sharer) isolated() bool { return s.options.Isolated != nil && s.options.Isolated() }
+
 // RelayPeers returns the other instances that accept relayed requests, as far as this instance knows them.
 func (s *Sharer) RelayPeers() (peers []relay.Peer) {
 	s.mu.Lock()
@@ -160,12 +176,15 @@
 	if args.From.Zone != s.options.Self.Zone {
 		return fmt.Errorf("instance %s belongs to another zone", args.From.ID)
 	}
-	own := s.options.View.OwnLoads()
+	own, isolated := s.options.View.OwnLoads(), s.isolated()
 	reply.Crashes = s.exchangeCrashes(args.Crashes)
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.table.SetReport(now, args.From, loadshare.Report{Loads: args.Loads, ReadsFailing: args.ReadsFailing})
+	s.table.SetReport(now, args.From, loadshare.Report{
+		Loads: args.Loads, ReadsFailing: args.ReadsFailing, Isolated: args.Isolated,
+	})
+	reply.Placer = s.table.Placer(now, isolated).ID
 	if tables := s.options.Tables; tables != nil && args.Copies != nil {
 		s.memberStates[args.From.ID] = *args.Copies
 		tables.Offer(args.Changes)
@@ -300,6 +319,7 @@
 	s.options.View.MergeCrashEvidence(reply.Crashes)
 	s.table.RecordContact(time.Now(), reply.Self)
 	s.table.Add(reply.Members...)
+	s.collectorID, s.placerID = reply.Self.ID, reply.Placer
 	s.takeTables(&reply)
 	s.observeVersions(reply.Versions)
 	if !args.SkipLoads {
@@ -311,7 +331,7 @@
 func (s *Sharer) shareArgs(collector loadshare.Member, known int) *ShareArgs {
 	args := &ShareArgs{
 		From: s.options.Self, Loads: s.options.View.OwnLoads(), Known: known, Versions: s.versions(),
-		Crashes: s.options.View.CrashEvidence(),
+		Crashes: s.options.View.CrashEvidence(), Isolated: s.isolated(),
 	}
 	tables := s.options.Tables
 	if tables == nil {
@@ -334,7 +354,7 @@
 	if tables == nil {
 		return
 	}
-	s.collectorID, s.collectorStates = reply.Self.ID, reply.Copies
+	s.collectorStates = reply.Copies
 	tables.Offer(reply.Changes)
 	if states := tables.States(); !states.Configuration.Loaded || !states.Targets.Loaded {
 		time.AfterFunc(joinPeriod, s.Announce)
--- a/internal/loadshare/message.go
+++ b/internal/loadshare/message.go
@@ -79,6 +79,8 @@
 	Changes TableBatches
 	// ReadsFailing reports whether the sender cannot read the store.
 	ReadsFailing bool
+	// Isolated reports whether the sender has lost its links to the targets of a service.
+	Isolated bool
 	// Crashes holds what the sender knows of requests that crash engines.
 	Crashes []quarantine.Evidence
 }
@@ -97,6 +99,8 @@
 	Changes TableBatches
 	// Reader is the instance that follows the tables of the store for the zone.
 	Reader entity.DaemonID
+	// Placer is the instance that plans placements for the zone.
+	Placer entity.DaemonID
 	// Crashes holds what the sender knows of requests that crash engines.
 	Crashes []quarantine.Evidence
 }
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -115,6 +115,9 @@
 	// Rank returns the number of instances that should act before this one. It reports false if this instance leaves
 	// placement to others.
 	Rank func() (rank int, candidate bool)
+	// Isolated, if set, reports whether this instance reaches no engines. It then gives up the lease at once: orders would not arrive,
+	// nor would their confirmation be seen.
+	Isolated func() bool
 	// Era, if set, returns the era of the store in the tables that the orders are planned by (see core/rowversion).
 	Era func() uint64
 	// OrderGiven, if set, is called with the outcome of each order.
@@ -207,7 +210,7 @@
 	if p.options.Era != nil {
 		p.lease.SetEra(now, p.options.Era())
 	}
-	if p.stopping.Load() {
+	if p.stopping.Load() || p.options.Isolated != nil && p.options.Isolated() {
 		p.stepLease(ctx, now, false)
 		return
 	}
