Do not forward a refusal of a request that has run before it was relayed

What callers would see: a repeatable call that has run at a target, whose instance then lost its links, was answered 503, which says that it has not run, if the instance that was to run it again refused it. Cause: the refusal of the other instance was forwarded as it is; that one does not know of the run. Found by reading the change. Change: such a request ends with an unknown outcome (502).

--- a/internal/edge/relay_test.go
+++ b/internal/edge/relay_test.go
@@ -369,3 +369,22 @@
 	}
 	d.waitUntil("the zone holds the model again", func() bool { return countHeldLayers(d.engines[:2]) == modelLayers })
 }
+
+// TestRelayedRefusalAfterRunPromisesNothing guards against a call that is said not to have run because the instance that was to run it again
+// refuses it.
+func TestRelayedRefusalAfterRunPromisesNothing(t *testing.T) {
+	t.Parallel()
+	d := newIsolatedDeployment(t, 2)
+	for _, target := range d.plain {
+		target.SetFaults(edgeplatform.TargetFaults{Hang: true})
+	}
+	got := d.start(func() result { return d.call(d.daemons[0], http.MethodGet, "/read/1", "look", "key-1", "") })
+	d.awaitRuns("look", 1)
+	for _, target := range d.plain {
+		target.SetFaults(edgeplatform.TargetFaults{Refuse: true})
+	}
+	d.links[0].cut(linksRefuse, (*faultproxy.Proxy).Reset)
+	if answer := <-got; answer.status != http.StatusBadGateway || len(d.runsOf("look")) != 1 {
+		t.Errorf("answer %+v, %d runs", answer, len(d.runsOf("look")))
+	}
+}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -164,15 +164,19 @@
 	return q.mayRelay()
 }
 
+// errRefusedAfterRun is the cause of a request that has run on a target of this instance and that another instance, which was to run it
+// again, has refused: its refusal says that the request has not run.
+var errRefusedAfterRun = errors.New("instance that took the request refused it")
+
 // relayedExchange is an exchange with another instance; release must follow.
 type relayedExchange struct {
 	*exchange
-	peer    relay.Peer
 	release func()
 }
 
 // sendToPeer offers the request to other instances until one takes it, and returns the exchange with that one after the head of
-// its response. An error that wraps errNotSent means that none has taken it. timeout is how long the caller still waits.
+// its response. An error that wraps errNotSent means that none has taken it. timeout is how long the caller still waits. The request
+// counts as run once an instance has taken it.
 func (q *request) sendToPeer(ctx context.Context, timeout time.Duration, lastEventID int64) (*relayedExchange, error) {
 	r := q.gateway.relays
 	end := time.Now().Add(timeout)
@@ -185,11 +189,11 @@
 		}
 		x, err := q.offer(ctx, peer, time.Until(end), lastEventID)
 		if err == nil && !x.head.NotRun {
-			r.sent.Add(1)
-			return &relayedExchange{exchange: x, peer: peer, release: func() { r.release(peer) }}, nil
+			return q.recordTaken(x, peer)
 		}
 		r.release(peer)
 		if err != nil && !errors.Is(err, errNotSent) {
+			q.countRun(peer)
 			return nil, fmt.Errorf("%w: %w", errPeerFailed, err)
 		}
 		if err == nil { // isolated too, or stopping
@@ -249,12 +253,25 @@
 	return x, nil
 }
 
-// recordTaken records that another instance has taken the request, which may have run there, on as many targets as its route
-// allows.
-func (q *request) recordTaken(peer entity.DaemonID) {
+// recordTaken returns the exchange with an instance that has taken the request. A refusal of that instance is an error if the request
+// has run before.
+func (q *request) recordTaken(x *exchange, peer relay.Peer) (*relayedExchange, error) {
+	r, ranBefore := q.gateway.relays, q.runs > 0
+	r.sent.Add(1)
+	q.countRun(peer)
+	if ranBefore && !x.head.FromTarget {
+		x.abort()
+		r.release(peer)
+		return nil, errRefusedAfterRun
+	}
+	return &relayedExchange{exchange: x, release: func() { r.release(peer) }}, nil
+}
+
+// countRun records that another instance may have run the request, on as many targets as its route allows.
+func (q *request) countRun(peer relay.Peer) {
 	q.takenByPeer = true
 	q.runs++
-	q.attemptedTargets = append(q.attemptedTargets, "instance:"+string(peer))
+	q.attemptedTargets = append(q.attemptedTargets, "instance:"+string(peer.ID))
 }
 
 // relayBuffered has another instance serve a call, and forwards its complete response, which may be a refusal of its own. If no
@@ -269,10 +286,7 @@
 	var body []byte
 	if err == nil {
 		defer x.release()
-		q.recordTaken(x.peer.ID)
 		body, err = x.readBody(q, q.timeLeft())
-	} else {
-		q.recordTaken("")
 	}
 	if err != nil {
 		q.lastErr, q.lastKind = err, q.unknownOutcomeKind(ctx, err)
@@ -292,11 +306,9 @@
 		return false, false
 	}
 	if err != nil {
-		s.recordTaken("")
 		return s.handleRelayFailure(ctx, err)
 	}
 	defer x.release()
-	s.recordTaken(x.peer.ID)
 	s.watchdog = s.gateway.inspector.stoppedWatchdog()
 	if x.head.Status != http.StatusOK || !x.head.FromTarget || x.head.ContentEncoded {
 		return s.forwardRelayedRefusal(ctx, x)
@@ -331,7 +343,7 @@
 	body, err := x.readBody(s.request, s.timeLeft())
 	if err != nil || s.headWritten.Load() {
 		if err == nil {
-			err = fmt.Errorf("instance %s answered with status %d", x.peer.ID, x.head.Status)
+			err = fmt.Errorf("instance that took the stream answered with status %d", x.head.Status)
 		}
 		return s.handleRelayFailure(ctx, err)
 	}
