Give the daemons of the fault soak a listener for relayed requests

Cause: the soak of separate processes did not exercise the relaying of requests: without the setting an instance relays none. Two comments were in phrases of the project's own. Change: the setting relay in test/soak; the wording of two comments. No logic changes.

--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -165,7 +165,7 @@
 }
 
 // errRefusedAfterRun is the cause of a request that has run on a target of this instance and that another instance, which was to run it
-// again, has refused: its refusal says that the request has not run.
+// again, has refused. Forwarding its refusal would promise that the request has not run.
 var errRefusedAfterRun = errors.New("instance that took the request refused it")
 
 // relayedExchange is an exchange with another instance; release must follow.
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -61,7 +61,7 @@
 	bodyBytes atomic.Int64
 	// stats returns the statistics of a stream; nil for other calls.
 	stats func() streamStats
-	// relay says that another instance has relayed the request; nil for requests of callers.
+	// relay identifies the instance that has relayed the request; nil for requests of callers.
 	relay *relayedRequest
 	// takenByPeer reports whether another instance has taken the request. No attempt follows, since that instance may have made as
 	// many as the route allows.
--- a/test/soak/daemon_test.go
+++ b/test/soak/daemon_test.go
@@ -104,6 +104,7 @@
 	d := &daemon{t: t, name: fmt.Sprintf("edge-%s-%d", zone, number), storeProxy: proxy}
 	d.settings = settings.Edge{
 		Daemon: d.name, Zone: zone, Front: ip + ":8000", Ready: ip + ":8001", Peer: ip + ":8002", Metrics: ip + ":8003",
+		Relay:    ip + ":8004",
 		MemoryMB: 128, StopGrace: settings.Duration(stopGrace), FirstStart: true,
 		DrainBound: settings.Duration(drainBound), ConfigurationBound: settings.Duration(configBound),
 		Retries: settings.Retries{Ratio: retryRatio, Slack: retrySlack, Span: settings.Duration(retrySpan)},
