Go on placing layers while the targets of another service have ended

What callers would see: if all targets of a plain service end, engines that restart or crash get no layers until one is back. Cause: an instance that reaches no target of any service counted as isolated and gave up the lease for orders, and then every instance did. Change: only the loss of the links to all services with engines stops an instance from placing layers.

--- a/core/loadshare/loadshare.go
+++ b/core/loadshare/loadshare.go
@@ -96,7 +96,7 @@
 	Loads Loads
 	// ReadsFailing reports whether the member cannot read the store.
 	ReadsFailing bool
-	// Isolated reports whether the member has lost its links to the targets of a service.
+	// Isolated reports whether the member has lost its links to all engines.
 	Isolated bool
 }
 
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -121,7 +121,7 @@
 	sharer *loadshare.Sharer, m *Metrics) *placer.Placer {
 	return placer.New(placer.Options{
 		Daemon: entity.DaemonID(s.Daemon), View: g, Engines: engines, Table: store, Rank: sharer.PlacementRank,
-		Isolated:   g.Isolated,
+		Isolated:   g.ReachesNoEngines,
 		Era:        t.era,
 		OrderGiven: func(o placer.Outcome) { m.Orders.WithLabelValues(o.String()).Inc() },
 	})
@@ -133,7 +133,7 @@
 			ID: entity.DaemonID(s.Daemon), Zone: entity.ZoneID(s.Zone), Address: s.Peer,
 			Incarnation: uint64(time.Now().UnixNano()), Capacity: int(s.CPUShare * millicores), Relay: s.Relay,
 		},
-		View: g, Table: store, Tables: t, Isolated: g.Isolated,
+		View: g, Table: store, Tables: t, Isolated: g.ReachesNoEngines,
 	})
 }
 
--- a/internal/edge/relay_test.go
+++ b/internal/edge/relay_test.go
@@ -388,3 +388,24 @@
 		t.Errorf("answer %+v, %d runs", answer, len(d.runsOf("look")))
 	}
 }
+
+// TestEndedPlainServiceStopsNoPlacement guards against engines that keep layers missing because all targets of another service have ended, so
+// that no instance reaches that service.
+func TestEndedPlainServiceStopsNoPlacement(t *testing.T) {
+	t.Parallel()
+	d := newIsolatedDeployment(t, 2)
+	for _, target := range d.plain {
+		target.Close()
+	}
+	for _, daemon := range d.daemons {
+		d.waitUntil("the daemon reaches no plain target", func() bool {
+			d.call(daemon, http.MethodPost, "/post/1", "find-out", "key-1", "")
+			return daemon.gateway.IsolatedServices() == 1
+		})
+	}
+	for _, engine := range d.engines[:2] {
+		engine.Restart()
+		d.register(engine, "ready")
+	}
+	d.waitUntil("the zone holds the model again", func() bool { return countHeldLayers(d.engines[:2]) == modelLayers })
+}
--- a/internal/gateway/isolation.go
+++ b/internal/gateway/isolation.go
@@ -69,8 +69,27 @@
 	}
 }
 
-// Isolated reports whether this instance has lost its links to the targets of a service.
-func (g *Gateway) Isolated() bool { return g.IsolatedServices() > 0 }
+// ReachesNoEngines reports whether this instance has lost its links to the targets of all services with engines. If it reaches one, it
+// is rather the targets of the others that have ended.
+func (g *Gateway) ReachesNoEngines() bool {
+	configuration := g.configuration.Load()
+	if configuration == nil {
+		return false
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	found := false
+	for id, service := range configuration.Services {
+		if service.Engine == nil {
+			continue
+		}
+		if !g.links.Isolated(id) {
+			return false
+		}
+		found = true
+	}
+	return found
+}
 
 // CheckLinks finds out whether this instance has lost its links to targets, until ctx ends.
 func (g *Gateway) CheckLinks(ctx context.Context) {
--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -83,7 +83,7 @@
 	// Tables, if set, lets the instances pass on the changes of the store's tables, and detect that one of them no
 	// longer receives changes.
 	Tables Tables
-	// Isolated, if set, reports whether this instance has lost its links to the targets of a service.
+	// Isolated, if set, reports whether this instance has lost its links to all engines.
 	Isolated func() bool
 	// Listen opens the peer listener at Self.Address; net.Listen if nil.
 	Listen func(network, address string) (net.Listener, error)
--- a/internal/loadshare/message.go
+++ b/internal/loadshare/message.go
@@ -79,7 +79,7 @@
 	Changes TableBatches
 	// ReadsFailing reports whether the sender cannot read the store.
 	ReadsFailing bool
-	// Isolated reports whether the sender has lost its links to the targets of a service.
+	// Isolated reports whether the sender has lost its links to all engines.
 	Isolated bool
 	// Crashes holds what the sender knows of requests that crash engines.
 	Crashes []quarantine.Evidence
