--- a/review/_cases-2/emulator/edgeplatform/case_late.go
+++ b/review/_cases-2/emulator/edgeplatform/case_late.go
@@ -39,7 +39,7 @@
 			},
 		}},
 		"limits": map[string]any{
-			"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 2000, "idleTimeoutMs": 5000,
+			"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 2000, "idleTimeoutMs": 15000,
 		},
 		"tenants": []any{map[string]any{"name": "ana", "apiKeys": []string{key}}},
 	}
--- a/review/_cases-2/emulator/edgeplatform/case_memory.go
+++ b/review/_cases-2/emulator/edgeplatform/case_memory.go
@@ -25,7 +25,7 @@
 	postingBytes     = 1 << 20
 	postingWork      = time.Second
 	postingLimit     = 3 * time.Second
-	lookupPause      = 3 * time.Second
+	lookupPause      = 12 * time.Second
 
 	memoryMB       = 284
 	memoryInterval = 10 * time.Millisecond
--- a/review/_cases-2/emulator/edgeplatform/case_silent.go
+++ b/review/_cases-2/emulator/edgeplatform/case_silent.go
@@ -38,7 +38,7 @@
 		"routes":   []any{route("look", "idempotent", lookups, 2), route("post", "non_idempotent", deskService, 1)},
 		"services": []any{service(oldService), service(newService), service(deskService)},
 		"limits": map[string]any{
-			"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 2000, "idleTimeoutMs": 5000,
+			"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 2000, "idleTimeoutMs": 15000,
 		},
 		"tenants": []any{map[string]any{"name": "ana", "apiKeys": []string{key}}},
 	}
