Log on which connection a refusal of a stream was read

The logs named the engine that a refusal blames, but not the connection on which the refusal was read, and nothing at all when the blamed engine was not on the path. They could not tell apart: a response read by the wrong attempt, a reroute, a second attempt after a silence, and an engine that runs what it has refused.

Change: a connection records the requests that it has carried. Both outcomes of a refusal are logged, with the connection and whether it had carried this request before.

--- a/internal/connpool/connpool.go
+++ b/internal/connpool/connpool.go
@@ -48,6 +48,8 @@
 	// Reused reports whether the connection has carried a request before.
 	Reused  bool
 	address string
+	// carried holds the requests that the connection has carried.
+	carried requestSet
 	// idleSince and idleUntil are set while the connection is idle in the pool.
 	idleSince, idleUntil time.Time
 	limiter              *readLimiter
@@ -80,6 +82,11 @@
 	return n, err
 }
 
+// Carry records that the connection carries a request from now on, and reports whether it has carried that request before.
+// Targets name in a response the request but not the attempt, so that a late copy of the response to an earlier attempt cannot
+// be told from the response to the present one.
+func (c *Conn) Carry(requestID string) (before bool) { return c.carried.add(requestID) }
+
 // Pool keeps idle connections by address. It is safe for concurrent use.
 type Pool struct {
 	dialer net.Dialer
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -53,6 +53,8 @@
 	conn     *connpool.Conn
 	response *http.Response
 	head     ResponseHead
+	// carriedBefore reports whether conn has carried the same request before.
+	carriedBefore bool
 	// stopCloseOnCancel stops the closing of conn on cancellation; it returns false if that has already begun.
 	stopCloseOnCancel func() bool
 }
@@ -74,7 +76,7 @@
 	connectTime := time.Since(begunAt)
 	attempt.Timeout -= connectTime
 	headTimeout -= connectTime
-	x := &exchange{gateway: g, target: attempt.Target, conn: conn}
+	x := &exchange{gateway: g, target: attempt.Target, conn: conn, carriedBefore: conn.Carry(attempt.Call.ID)}
 	x.stopCloseOnCancel = context.AfterFunc(ctx, func() { conn.Close() })
 	request := g.options.Codec.EncodeAttempt(attempt)
 	if len(attempt.Call.Body) > 0 {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -209,7 +209,7 @@
 	if x.head.NotRun {
 		x.releaseRefused()
 		if !x.head.asksForTime(path.Stages[0].Target.Address) {
-			s.handleRefusal(ctx, x.head, time.Since(sent))
+			s.handleRefusal(ctx, x, time.Since(sent))
 		}
 		s.lastErr, s.lastKind = errors.New("engines of the path did not run the request"), errkind.Overloaded
 		return false, true
@@ -479,9 +479,13 @@
 // handleRefusal records which engine of the path refused the request; elapsed is the time until the response. If the
 // response came at once, that engine has no capacity, is shutting down or unloading layers, or cannot be reached;
 // reading its report shows which.
-func (s *stream) handleRefusal(ctx context.Context, head ResponseHead, elapsed time.Duration) {
+func (s *stream) handleRefusal(ctx context.Context, x *exchange, elapsed time.Duration) {
+	head := x.head
+	conn := []any{"conn", x.conn.LocalAddr().String(), "reused", x.conn.Reused, "carriedBefore", x.carriedBefore}
 	target, found := s.currentPath().TargetByAddress(head.FaultyAddress)
 	if !found || head.Status != http.StatusServiceUnavailable || elapsed > maxRefusalTime {
+		log.Event("stream not run for another reason than a full engine", append([]any{"request", s.ID, "status", head.Status,
+			"faulty", head.FaultyAddress, "path", formatPath(s.currentPath()), "ms", elapsed.Milliseconds()}, conn...)...)
 		s.recordFault(head.FaultyAddress, "engines of the path did not run the request")
 		return
 	}
@@ -489,7 +493,7 @@
 	s.avoid[target.ID] = true
 	s.gateway.dispatcher.Fleet.RecordOverload(boottime.Now(), target.ID)
 	s.gateway.mu.Unlock()
-	log.Event("engine refused a stream", "target", target.ID, "request", s.ID, "ms", elapsed.Milliseconds())
+	log.Event("engine refused a stream", append([]any{"target", target.ID, "request", s.ID, "ms", elapsed.Milliseconds()}, conn...)...)
 	answered := s.currentPath().Stages[0].Target.ID == target.ID
 	go s.gateway.suspectAfterRefusal(context.WithoutCancel(ctx), target, s.ID, answered)
 }
