Give no connection to a request that it has carried before

Cause: the id in a response names the request and not the attempt. A refusal puts its connection back into the pool, and the next attempt of the same request took it again; a late copy of the refusal was then read as the response to that attempt.

The copy that was read blames an engine of the path before.

Change: Pool.Get takes the id of the request, and gives it no connection that has carried it before. The pool is the one place that all paths to targets share: first and later attempts of streams and calls, second attempts, relayed requests. A connection records at most 256 requests, and is then closed. Emulated targets can send copies of all responses (LateCopies), and refuse a request at first (RefuseFirst). The log key carriedBefore goes, since it can no longer be true.

--- a/internal/connpool/connpool.go
+++ b/internal/connpool/connpool.go
@@ -32,6 +32,8 @@
 	// maxIdleTotal bounds the idle connections to all targets. It is a tenth of the 3,900 descriptors that the smallest
 	// instances have for connections, and allows several for each of a hundred targets.
 	maxIdleTotal = 390
+	// maxRequestsPerConn bounds the requests that a connection carries, and so the memory in which it records them: 2 KiB.
+	maxRequestsPerConn = 256
 	// ackTimeout is the time after which a connection fails if sent data is not acknowledged (TCP_USER_TIMEOUT).
 	ackTimeout = 3 * time.Second
 	// lateTimeout is how much longer than its timeout a failed dial takes if this process was paused meanwhile.
@@ -82,10 +84,19 @@
 	return n, err
 }
 
-// Carry records that the connection carries a request from now on, and reports whether it has carried that request before.
-// Targets name in a response the request but not the attempt, so that a late copy of the response to an earlier attempt cannot
-// be told from the response to the present one.
-func (c *Conn) Carry(requestID string) (before bool) { return c.carried.add(requestID) }
+// Use is what a connection is wanted for.
+type Use struct {
+	// Address is the host:port of the target.
+	Address string
+	// RequestID is the id of the request that the connection is to carry, as the target repeats it in its response. A
+	// connection carries a request with the same id once: the id names the request and not the attempt, so that a late copy of
+	// the response to an earlier attempt could not be told from the response to a later one.
+	RequestID string
+	// New asks for a new connection.
+	New bool
+	// Timeout bounds the time to open a connection, as DialTimeout does.
+	Timeout time.Duration
+}
 
 // Pool keeps idle connections by address. It is safe for concurrent use.
 type Pool struct {
@@ -124,21 +135,22 @@
 	return err
 }
 
-// Get returns a connection to address: an idle one if there is one and forceNew is false, otherwise a new one, which must be
-// open within timeout. An error means that no connection could be opened, so nothing was sent.
-func (p *Pool) Get(ctx context.Context, address string, forceNew bool, timeout time.Duration) (*Conn, error) {
-	for !forceNew {
-		conn := p.popIdle(address)
+// Get returns a connection for a use: an idle one that has not carried the same request, if there is one and use.New is false,
+// otherwise a new one. An error means that no connection could be opened, so nothing was sent.
+func (p *Pool) Get(ctx context.Context, use Use) (*Conn, error) {
+	for !use.New {
+		conn := p.popIdle(use)
 		if conn == nil {
 			break
 		}
 		if time.Now().Before(conn.idleUntil) && conn.reusable() {
 			conn.Reused = true
+			conn.carried.add(use.RequestID)
 			return conn, nil
 		}
 		conn.Close()
 	}
-	opened, err := p.dial(ctx, address, min(timeout, DialTimeout))
+	opened, err := p.dial(ctx, use.Address, min(use.Timeout, DialTimeout))
 	if err != nil {
 		return nil, err
 	}
@@ -146,9 +158,11 @@
 		p.OnDial()
 	}
 	limiter := &readLimiter{conn: opened, remaining: -1}
-	return &Conn{
-		Conn: opened, Reader: bufio.NewReaderSize(limiter, readBufferSize), address: address, limiter: limiter,
-	}, nil
+	conn := &Conn{
+		Conn: opened, Reader: bufio.NewReaderSize(limiter, readBufferSize), address: use.Address, limiter: limiter,
+	}
+	conn.carried.add(use.RequestID)
+	return conn, nil
 }
 
 // dial opens a connection. A timeout that is noticed late comes from a pause of this process, not from the target, so the
@@ -174,27 +188,31 @@
 	return dialer.DialContext(ctx, "tcp", address)
 }
 
-func (p *Pool) popIdle(address string) *Conn {
+// popIdle takes from the pool the idle connection used last that has not carried the request; nil if there is none.
+func (p *Pool) popIdle(use Use) *Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	conns := p.idle[address]
-	if len(conns) == 0 {
-		return nil
+	conns := p.idle[use.Address]
+	for i := len(conns) - 1; i >= 0; i-- {
+		if conn := conns[i]; !conn.carried.has(use.RequestID) {
+			p.idle[use.Address] = slices.Delete(conns, i, i+1)
+			p.idleCount--
+			return conn
+		}
 	}
-	conn := conns[len(conns)-1]
-	p.idle[address] = conns[:len(conns)-1]
-	p.idleCount--
-	return conn
+	return nil
 }
 
 // Put returns a connection to the pool after its last response was read to the end. keepAlive is the keep-alive timeout
-// that the target announced, or 0 if it announced none. If the pool is full, the least recently used connection is closed.
+// that the target announced, or 0 if it announced none. If the pool is full, the least recently used connection is closed. A
+// connection that has carried maxRequestsPerConn requests is closed too.
 func (p *Pool) Put(conn *Conn, keepAlive time.Duration) {
 	idleTime := maxIdleTime
 	if keepAlive > 0 {
 		idleTime = min(idleTime, keepAlive-keepAliveMargin)
 	}
-	if idleTime <= 0 || conn.Reader.Buffered() > 0 || conn.SetDeadline(time.Time{}) != nil {
+	if idleTime <= 0 || len(conn.carried) >= maxRequestsPerConn || conn.Reader.Buffered() > 0 ||
+		conn.SetDeadline(time.Time{}) != nil {
 		conn.Close()
 		return
 	}
--- a/internal/connpool/connpool_test.go
+++ b/internal/connpool/connpool_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"slices"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -32,7 +34,17 @@
 
 func get(t *testing.T, p *Pool, address string, forceNew bool) *Conn {
 	t.Helper()
-	conn, err := p.Get(context.Background(), address, forceNew, DialTimeout)
+	return getFor(t, p, Use{Address: address, RequestID: uniqueID(), New: forceNew, Timeout: DialTimeout})
+}
+
+var requests atomic.Int64
+
+// uniqueID returns the id of a new request.
+func uniqueID() string { return fmt.Sprint("r", requests.Add(1)) }
+
+func getFor(t *testing.T, p *Pool, use Use) *Conn {
+	t.Helper()
+	conn, err := p.Get(context.Background(), use)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -54,6 +66,51 @@
 	}
 }
 
+// TestConnectionCarriesRequestOnce guards against two attempts of a request on one connection, where a late copy of the response to
+// the first one would count as the response to the second, and against a connection that other requests cannot reuse either.
+func TestConnectionCarriesRequestOnce(t *testing.T) {
+	address, _ := listen(t)
+	p := New()
+	use := Use{Address: address, RequestID: "r", Timeout: DialTimeout}
+	other := use
+	other.RequestID = "other"
+	first := getFor(t, p, use)
+	p.Put(first, 0)
+	second := getFor(t, p, use)
+	if second.Conn == first.Conn {
+		t.Error("connection carries two attempts of a request")
+	}
+	p.Put(second, 0)
+	if got := getFor(t, p, other); got != second {
+		t.Error("connection used last was not reused by another request")
+	}
+	if got := getFor(t, p, other); got != first {
+		t.Error("the first connection was not reused by another request")
+	}
+	p.Put(second, 0)
+	p.Put(first, 0)
+	if got := getFor(t, p, use); got.Reused {
+		t.Error("connection carries two attempts of a request after the attempt of another one")
+	}
+}
+
+// TestRequestsOfConnectionAreBounded guards against a connection whose record of requests grows without a bound.
+func TestRequestsOfConnectionAreBounded(t *testing.T) {
+	address, _ := listen(t)
+	p := New()
+	conn := get(t, p, address, false)
+	for range maxRequestsPerConn - 1 {
+		p.Put(conn, 0)
+		if again := get(t, p, address, false); again != conn {
+			t.Fatalf("connection was not reused after %d requests", len(conn.carried))
+		}
+	}
+	p.Put(conn, 0)
+	if p.idleCount != 0 {
+		t.Errorf("connection was kept after %d requests", len(conn.carried))
+	}
+}
+
 // TestUnusableConnectionIsNotReused guards against reuse of a connection that the target has closed, or on which it
 // sent more than its response: such bytes belong to no request.
 func TestUnusableConnectionIsNotReused(t *testing.T) {
--- a/internal/emulator/edgeplatform/configuration.go
+++ b/internal/emulator/edgeplatform/configuration.go
@@ -17,8 +17,8 @@
 	Priority  int
 }
 
-// Configuration is an operator's configuration for tests: streams at /gen/ to the service llm, whose engines hold up to
-// four layers each, and postings at /post/ and lookups at /read/ to the service ledger.
+// Configuration is an operator's configuration for tests: streams at /gen/, and streams that may not be resumed at
+// /gen-once/, to the service llm, whose engines hold up to four layers each, and postings at /post/ and lookups at /read/ to the service ledger.
 type Configuration struct {
 	Version int
 	// Account is the only client account, Keys are its API keys.
@@ -38,7 +38,9 @@
 
 // Row returns the value of the configuration row that the operator writes.
 func (c Configuration) Row() map[string]any {
-	routes := []any{c.streamRoute("gen", 1)}
+	once := c.streamRoute("gen-once", 1)
+	once["resumable"] = false
+	routes := []any{c.streamRoute("gen", 1), once}
 	for _, priority := range c.StreamPriorities {
 		routes = append(routes, c.streamRoute(fmt.Sprintf("gen-%d", priority), priority))
 	}
--- a/internal/emulator/edgeplatform/serving.go
+++ b/internal/emulator/edgeplatform/serving.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -26,6 +27,7 @@
 		t.inProgress--
 	}()
 	faults := t.faults
+	faults.Refuse = faults.Refuse || faults.RefuseFirst && !t.hasReceived(r.Header.Get("X-Request-Id"))
 	t.arrivals = append(t.arrivals, Arrival{RequestID: r.Header.Get("X-Request-Id"), At: time.Now()})
 	misdirected := r.Header.Get("X-Expect-Instance") != t.ID
 	pathRefused := faults.RefusePathsVia != "" && strings.Contains(r.Header.Get("X-Hops"), faults.RefusePathsVia+"=")
@@ -77,6 +79,11 @@
 	}
 }
 
+// hasReceived reports whether a request has arrived before. The caller holds t.mu.
+func (t *Target) hasReceived(id string) bool {
+	return slices.ContainsFunc(t.arrivals, func(a Arrival) bool { return a.RequestID == id })
+}
+
 // timeoutOf returns how long a request allows its target to work on it, or 0 if it does not say.
 func timeoutOf(r *http.Request) time.Duration {
 	milliseconds, err := strconv.Atoi(r.Header.Get("X-Deadline-Ms"))
--- a/internal/emulator/edgeplatform/target.go
+++ b/internal/emulator/edgeplatform/target.go
@@ -83,7 +83,9 @@
 	mux.HandleFunc("GET /api/report", t.report)
 	mux.HandleFunc("POST /api/order", t.order)
 	mux.HandleFunc("/", t.serve)
-	t.server = httptest.NewServer(t.abortWhileDown(t.announceLeaving(t.refuseForTime(mux))))
+	t.server = httptest.NewUnstartedServer(t.abortWhileDown(t.announceLeaving(t.refuseForTime(mux))))
+	t.server.Listener = lateCopyListener{t.server.Listener, t}
+	t.server.Start()
 	t.advertised = t.server.Listener.Addr().String()
 	return t
 }
--- a/internal/emulator/edgeplatform/target_faults.go
+++ b/internal/emulator/edgeplatform/target_faults.go
@@ -49,6 +49,11 @@
 	// the connection after the latter. Without ExtraResponseID the copy names no request.
 	ExtraResponse   bool
 	ExtraResponseID string
+	// LateCopies is the number of times that the target sends each response again, whatever it says, when the next request has
+	// arrived on its connection.
+	LateCopies int
+	// RefuseFirst makes the target refuse each request when it arrives for the first time, as Refuse does.
+	RefuseFirst bool
 	// OmitRequestID omits the header X-Request-Id.
 	OmitRequestID bool
 	// EndlessHead and EndlessBody make responses of plain services go on until the other side closes the connection, in
--- a/internal/gateway/ended.go
+++ b/internal/gateway/ended.go
@@ -12,6 +12,7 @@
 	"github.com/hyssophoist/hyssophoist/core/entity"
 	"github.com/hyssophoist/hyssophoist/core/fleet"
 	"github.com/hyssophoist/hyssophoist/internal/boottime"
+	"github.com/hyssophoist/hyssophoist/internal/connpool"
 )
 
 const (
@@ -125,7 +126,7 @@
 
 // connect opens a new connection to a target and closes it. An open one may live on while a partition refuses new ones.
 func (g *Gateway) connect(ctx context.Context, target fleet.Target, timeout time.Duration) error {
-	conn, err := g.options.Pool.Get(ctx, target.Address, true, timeout)
+	conn, err := g.options.Pool.Get(ctx, connpool.Use{Address: target.Address, New: true, Timeout: timeout})
 	if err != nil {
 		return err
 	}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -53,8 +53,6 @@
 	conn     *connpool.Conn
 	response *http.Response
 	head     ResponseHead
-	// carriedBefore reports whether conn has carried the same request before.
-	carriedBefore bool
 	// stopCloseOnCancel stops the closing of conn on cancellation; it returns false if that has already begun.
 	stopCloseOnCancel func() bool
 }
@@ -65,7 +63,9 @@
 func (g *Gateway) send(ctx context.Context, attempt *Attempt, newConn bool, headTimeout time.Duration) (*exchange, error) {
 	begunAt, service := time.Now(), attempt.Target.Service
 	slow := time.AfterFunc(slowDialTime, func() { g.recordLinkFailure(service) }) // must not hold the body of the call
-	conn, err := g.options.Pool.Get(ctx, attempt.Target.Address, newConn, dispatch.ConnectTimeout(headTimeout))
+	conn, err := g.options.Pool.Get(ctx, connpool.Use{
+		Address: attempt.Target.Address, RequestID: attempt.Call.ID, New: newConn, Timeout: dispatch.ConnectTimeout(headTimeout),
+	})
 	slow.Stop()
 	if err != nil {
 		if ctx.Err() == nil {
@@ -76,7 +76,7 @@
 	connectTime := time.Since(begunAt)
 	attempt.Timeout -= connectTime
 	headTimeout -= connectTime
-	x := &exchange{gateway: g, target: attempt.Target, conn: conn, carriedBefore: conn.Carry(attempt.Call.ID)}
+	x := &exchange{gateway: g, target: attempt.Target, conn: conn}
 	x.stopCloseOnCancel = context.AfterFunc(ctx, func() { conn.Close() })
 	request := g.options.Codec.EncodeAttempt(attempt)
 	if len(attempt.Call.Body) > 0 {
@@ -131,7 +131,7 @@
 }
 
 // readHead reads the head of the final response with the given request id. It skips interim responses and responses to other
-// requests. One that names no request is taken only on a connection that has carried no other, and ends its reuse.
+// requests. The id does not name the attempt, so that this relies on the pool: a connection carries a request once. One that names no request is taken only on a connection that has carried no other, and ends its reuse.
 func (x *exchange) readHead(request *http.Request, id string) error {
 	for range 1 + maxSkippedResponses {
 		x.conn.LimitReads(maxHeadBytes)
--- a/internal/gateway/refusedconn_test.go
+++ b/internal/gateway/refusedconn_test.go
@@ -180,7 +180,7 @@
 		t.Fatalf("attempt took %v: %+v", took, outcome)
 	}
 	time.Sleep(pause / 2)
-	if conn, err := g.options.Pool.Get(t.Context(), target.Address, false, time.Second); err != nil || conn.Reused {
+	if conn, err := g.options.Pool.Get(t.Context(), connpool.Use{Address: target.Address, Timeout: time.Second}); err != nil || conn.Reused {
 		t.Errorf("connection with an incomplete response: %v, reused %v", err, conn != nil && conn.Reused)
 	}
 }
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -229,7 +229,9 @@
 // offer sends the request to another instance, on a connection of its own, and reads the head of the response.
 func (q *request) offer(ctx context.Context, peer relay.Peer, timeout time.Duration, lastEventID int64) (*exchange, error) {
 	options := &q.gateway.relays.options
-	conn, err := options.Pool.Get(ctx, peer.Address, true, min(relayDialTimeout, timeout))
+	conn, err := options.Pool.Get(ctx, connpool.Use{
+		Address: peer.Address, RequestID: q.ID, New: true, Timeout: min(relayDialTimeout, timeout),
+	})
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", errNotSent, err)
 	}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -481,7 +481,7 @@
 // reading its report shows which.
 func (s *stream) handleRefusal(ctx context.Context, x *exchange, elapsed time.Duration) {
 	head := x.head
-	conn := []any{"conn", x.conn.LocalAddr().String(), "reused", x.conn.Reused, "carriedBefore", x.carriedBefore}
+	conn := []any{"conn", x.conn.LocalAddr().String(), "reused", x.conn.Reused}
 	target, found := s.currentPath().TargetByAddress(head.FaultyAddress)
 	if !found || head.Status != http.StatusServiceUnavailable || elapsed > maxRefusalTime {
 		log.Event("stream not run for another reason than a full engine", append([]any{"request", s.ID, "status", head.Status,
