--- a/internal/emulator/edgeplatform/serving.go
+++ b/internal/emulator/edgeplatform/serving.go
@@ -27,14 +27,14 @@
 		t.inProgress--
 	}()
 	faults := t.faults
-	faults.Refuse = faults.Refuse || faults.RefuseFirst && !t.hasReceived(r.Header.Get("X-Request-Id"))
+	first := faults.RefuseFirst && !t.hasReceived(r.Header.Get("X-Request-Id"))
 	t.arrivals = append(t.arrivals, Arrival{RequestID: r.Header.Get("X-Request-Id"), At: time.Now()})
 	misdirected := r.Header.Get("X-Expect-Instance") != t.ID
 	pathRefused := faults.RefusePathsVia != "" && strings.Contains(r.Header.Get("X-Hops"), faults.RefusePathsVia+"=")
 	if pathRefused {
 		t.refusals++
 	}
-	if !misdirected && !pathRefused && !faults.Refuse {
+	if !misdirected && !pathRefused && !faults.Refuse && !first {
 		t.runs = append(t.runs, Run{
 			RequestID: r.Header.Get("X-Request-Id"), Tenant: r.Header.Get("X-Tenant"), Path: r.RequestURI,
 			LastEvent: r.Header.Get("Last-Event-Id"), Hops: r.Header.Get("X-Hops"), Body: string(body),
@@ -63,6 +63,12 @@
 		w.Header().Set("X-Not-Executed", "1")
 		w.Header().Set("At-Server", faults.RefusePathsVia)
 		w.WriteHeader(http.StatusServiceUnavailable)
+	case first:
+		w.Header().Set("X-Not-Executed", "1")
+		if address := lastHop(r); address != "" {
+			w.Header().Set("At-Server", address)
+		}
+		w.WriteHeader(http.StatusServiceUnavailable)
 	case faults.Refuse:
 		w.Header().Set("X-Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -84,6 +90,13 @@
 	return slices.ContainsFunc(t.arrivals, func(a Arrival) bool { return a.RequestID == id })
 }
 
+// lastHop returns the address of the last engine of a stream's path; empty for a plain call.
+func lastHop(r *http.Request) string {
+	hops := strings.Split(r.Header.Get("X-Hops"), ",")
+	address, _, _ := strings.Cut(hops[len(hops)-1], "=")
+	return address
+}
+
 // timeoutOf returns how long a request allows its target to work on it, or 0 if it does not say.
 func timeoutOf(r *http.Request) time.Duration {
 	milliseconds, err := strconv.Atoi(r.Header.Get("X-Deadline-Ms"))
--- a/internal/emulator/edgeplatform/target_faults.go
+++ b/internal/emulator/edgeplatform/target_faults.go
@@ -52,7 +52,8 @@
 	// LateCopies is the number of times that the target sends each response again, whatever it says, when the next request has
 	// arrived on its connection.
 	LateCopies int
-	// RefuseFirst makes the target refuse each request when it arrives for the first time, as Refuse does.
+	// RefuseFirst makes the target refuse each request when it arrives for the first time. The refusal of a stream names the last
+	// engine of its path as the cause, as for one that is full.
 	RefuseFirst bool
 	// OmitRequestID omits the header X-Request-Id.
 	OmitRequestID bool
--- a/test/soak/callers_test.go
+++ b/test/soak/callers_test.go
@@ -28,6 +28,8 @@
 type sentRequest struct {
 	id, route, path, body string
 	daemon                *daemon
+	// once reports whether the request may run only once.
+	once bool
 	// class is that of a generation, if there are several. tokens is the stated length of its prompt; 0 if it states none.
 	class  *generationClass
 	tokens int
@@ -88,7 +90,11 @@
 	id := fmt.Sprintf("%s-%d", caller, n)
 	s := &sentRequest{id: id, daemon: d, body: "body of " + id, timeout: callerTimeout}
 	s.route = []string{"gen", "post", "read"}[random.IntN(3)]
+	s.once = s.route == "post"
 	prefix := s.route
+	if s.route == "gen" && c.env.classes == nil && random.IntN(2) == 0 {
+		prefix, s.once = "gen-once", true
+	}
 	if s.route == "gen" && c.env.classes != nil {
 		s.class = &c.env.classes[random.IntN(len(c.env.classes))]
 		prefix = s.class.route
