Ask all members that may be the collector of a zone at the same time

Cause: entries of instances that are gone stay in the table. An instance asked one after the other as the collector, 300 ms each, and those asked first came back from their backoff of 1 s before the last one. Until then nobody plans placements. The collectors of other zones were looked for in the same way.

Evidence: the log of the restarted daemon has "instance lost" for five instances in the first 1.5 s, the sixth at 3.3 s and the 24th of 28 at 26.8 s, and no order.

Change: Table.Candidates lists the members that may be the collector up to the first one in contact, 32 at most; they are asked at the same time, in the own zone and in others, and the first in their order that answers counts. In steady state one call is made, as before. The messages are the same.

TestCandidates.

--- a/core/loadshare/loadshare.go
+++ b/core/loadshare/loadshare.go
@@ -25,6 +25,8 @@
 	// use. With maxPeriods the loads are still renewed well within loadTTL.
 	membersPerPeriod = 50
 	maxPeriods       = 4
+	// maxCandidates bounds the instances that are asked at the same time as the collector of a zone.
+	maxCandidates = 32
 	// minBackoff and maxBackoff bound the delay before an instance that did not answer is called again.
 	minBackoff = time.Second
 	maxBackoff = 15 * time.Second
@@ -178,6 +180,34 @@
 	return slices.MinFunc(append(t.upMembers(now, t.self.Zone), t.self), compareMembers)
 }
 
+// Candidates returns the instances to ask as the collector of a zone, in the order of compareMembers: the members that are not down,
+// up to the first one in contact, at most maxCandidates. In this instance's zone they end before this instance, so that the list is empty
+// if it is the collector itself. Entries of instances that are gone for good look like those of members that have not
+// been asked yet; asked one after the other, they came back from their backoff before the last one had been asked.
+func (t *Table) Candidates(now time.Time, zone entity.ZoneID) []Member {
+	members := t.upMembers(now, zone)
+	if zone == t.self.Zone {
+		members = slices.DeleteFunc(members, func(m Member) bool { return compareMembers(m, t.self) > 0 })
+	}
+	slices.SortFunc(members, compareMembers)
+	inContact := slices.IndexFunc(members, func(m Member) bool { return now.Sub(t.members[m.ID].lastContact) < loadTTL })
+	if inContact >= 0 {
+		members = members[:inContact+1]
+	}
+	return members[:min(len(members), maxCandidates)]
+}
+
+// OtherZones returns the other zones in which an instance is not down, sorted.
+func (t *Table) OtherZones(now time.Time) (zones []entity.ZoneID) {
+	for _, m := range t.members {
+		if m.Zone != t.self.Zone && !now.Before(m.downUntil) && !slices.Contains(zones, m.Zone) {
+			zones = append(zones, m.Zone)
+		}
+	}
+	slices.Sort(zones)
+	return zones
+}
+
 // Reader returns the member that follows the tables of the store for this instance's zone: the first one in contact
 // that can read the store, beginning with this instance, the collector. ownReadsFailing reports whether this one
 // cannot.
--- a/core/loadshare/loadshare_test.go
+++ b/core/loadshare/loadshare_test.go
@@ -1,6 +1,7 @@
 package loadshare
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -44,6 +45,50 @@
 	}
 }
 
+// TestCandidates guards against a zone whose collector is found late, because instances that may be gone are asked one by one, and
+// against calls to more members than the collector while that one answers.
+func TestCandidates(t *testing.T) {
+	table := New(instance("d", "z"))
+	ids := func(now time.Time, zone entity.ZoneID) (list string) {
+		for _, m := range table.Candidates(now, zone) {
+			list += string(m.ID)
+		}
+		return list
+	}
+	if got := ids(start, "z"); got != "" {
+		t.Errorf("alone: %s", got)
+	}
+	for _, id := range []entity.DaemonID{"a", "b", "c", "e"} {
+		table.Add(instance(id, "z"), instance(id+"'", "y"))
+	}
+	check := func(now time.Time, own, other string) {
+		t.Helper()
+		if got := ids(now, "z"); got != own {
+			t.Errorf("own zone: %s, want %s", got, own)
+		}
+		if got := ids(now, "y"); got != other {
+			t.Errorf("other zone: %s, want %s", got, other)
+		}
+	}
+	check(start, "abc", "a'b'c'e'")
+	table.RecordFailure(start, "a")
+	table.RecordFailure(start, "a'")
+	table.RecordContact(start, instance("b", "z"))
+	table.RecordContact(start, instance("c'", "y"))
+	check(start, "b", "b'c'")
+	check(start.Add(minBackoff), "ab", "a'b'c'")
+	check(start.Add(loadTTL), "abc", "a'b'c'e'")
+	for i := range 2 * maxCandidates {
+		table.Add(instance(entity.DaemonID(fmt.Sprintf("a%02d", i)), "z"))
+	}
+	if got := len(table.Candidates(start.Add(loadTTL), "z")); got != maxCandidates {
+		t.Errorf("%d candidates, want %d", got, maxCandidates)
+	}
+	if got := table.OtherZones(start); len(got) != 1 || got[0] != "y" {
+		t.Errorf("other zones: %v", got)
+	}
+}
+
 // TestOthers guards against an instance that receives its own loads or misses those of others, and against loads of
 // lost instances and zones that still count after their TTL.
 func TestOthers(t *testing.T) {
--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net"
 	"net/rpc"
+	"slices"
 	"sync"
 	"time"
 
@@ -296,35 +297,54 @@
 func (s *Sharer) step(ctx context.Context, period int) {
 	s.mu.Lock()
 	now := time.Now()
-	members := s.table.Members(now)
-	collector := members[0]
+	known := len(s.table.Members(now))
+	candidates := s.table.Candidates(now, s.options.Self.Zone)
 	s.mu.Unlock()
-	if collector.ID == s.options.Self.ID {
+	if len(candidates) == 0 {
 		s.collect(ctx, period)
 		return
 	}
-	args := s.shareArgs(collector, len(members))
-	args.SkipLoads = period%loadshare.PeriodsBetweenLoads(len(members)) != 0
-	var reply ShareReply
-	err := s.client.Call(ctx, collector.Address, shareCall, args, &reply)
-	if err == nil && reply.Self.ID != collector.ID {
+	skipLoads := period%loadshare.PeriodsBetweenLoads(known) != 0
+	replies := make([]*ShareReply, len(candidates))
+	var calls sync.WaitGroup
+	for i, candidate := range candidates {
+		calls.Go(func() { replies[i] = s.share(ctx, candidate, known, skipLoads) })
+	}
+	calls.Wait()
+	replies = slices.DeleteFunc(replies, func(reply *ShareReply) bool { return reply == nil })
+	if len(replies) == 0 {
+		return
+	}
+	collector := replies[0]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.collectorID, s.placerID = collector.Self.ID, collector.Placer
+	s.takeTables(collector)
+	if !skipLoads {
+		s.options.View.SetOtherLoads(collector.Others, collector.Instances, false)
+	}
+}
+
+// share sends this instance's loads to a candidate for the collector and records what it knows; the reply is nil if it does not answer.
+func (s *Sharer) share(ctx context.Context, candidate loadshare.Member, known int, skipLoads bool) *ShareReply {
+	args := s.shareArgs(candidate, known)
+	args.SkipLoads = skipLoads
+	reply := new(ShareReply)
+	err := s.client.Call(ctx, candidate.Address, shareCall, args, reply)
+	if err == nil && reply.Self.ID != candidate.ID {
 		err = errors.New("another instance answers at the address of the collector")
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err != nil {
-		s.recordFailure(collector, err)
-		return
+		s.recordFailure(candidate, err)
+		return nil
 	}
 	s.options.View.MergeCrashEvidence(reply.Crashes)
 	s.table.RecordContact(time.Now(), reply.Self)
 	s.table.Add(reply.Members...)
-	s.collectorID, s.placerID = reply.Self.ID, reply.Placer
-	s.takeTables(&reply)
 	s.observeVersions(reply.Versions)
-	if !args.SkipLoads {
-		s.options.View.SetOtherLoads(reply.Others, reply.Instances, false)
-	}
+	return reply
 }
 
 // shareArgs returns the message for the collector. known is the number of instances of the zone that this one knows.
@@ -391,14 +411,18 @@
 	if period%zonePeriods == 0 {
 		s.mu.Lock()
 		now := time.Now()
-		collectors := s.table.OtherCollectors(now)
 		sum, instances := s.table.ZoneLoads(now, own)
+		zones := s.table.OtherZones(now)
+		candidates := make([][]loadshare.Member, len(zones))
+		for i, zone := range zones {
+			candidates[i] = s.table.Candidates(now, zone)
+		}
 		s.mu.Unlock()
-		var calls sync.WaitGroup
-		for _, collector := range collectors {
-			calls.Go(func() { s.exchangeZone(ctx, collector, sum, instances) })
+		var exchanges sync.WaitGroup
+		for _, zone := range candidates {
+			exchanges.Go(func() { s.exchangeZone(ctx, zone, sum, instances) })
 		}
-		calls.Wait()
+		exchanges.Wait()
 	}
 	s.mu.Lock()
 	others, instances := s.table.Others(time.Now(), nil, s.options.Self.ID)
@@ -406,7 +430,27 @@
 	s.options.View.SetOtherLoads(others, instances, true)
 }
 
-func (s *Sharer) exchangeZone(ctx context.Context, collector loadshare.Member, sum loadshare.Loads, instances int) {
+// exchangeZone exchanges sums with the collector of another zone, the first of the candidates that answers.
+func (s *Sharer) exchangeZone(ctx context.Context, candidates []loadshare.Member, sum loadshare.Loads, instances int) {
+	replies := make([]*ZoneReply, len(candidates))
+	var calls sync.WaitGroup
+	for i, candidate := range candidates {
+		calls.Go(func() { replies[i] = s.shareWithZone(ctx, candidate, sum, instances) })
+	}
+	calls.Wait()
+	answered := slices.IndexFunc(replies, func(reply *ZoneReply) bool { return reply != nil })
+	if answered < 0 {
+		return
+	}
+	collector := replies[answered]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.table.SetZoneLoads(time.Now(), collector.Self.Zone, collector.Loads, collector.Instances)
+}
+
+// shareWithZone sends the sum of this zone's loads to a candidate for the collector of another zone and records what it knows; the reply
+// is nil if it does not answer.
+func (s *Sharer) shareWithZone(ctx context.Context, candidate loadshare.Member, sum loadshare.Loads, instances int) *ZoneReply {
 	args := &ZoneArgs{
 		From: s.options.Self, Loads: sum, Instances: instances, Versions: s.versions(),
 		Crashes: s.options.View.CrashEvidence(),
@@ -416,20 +460,19 @@
 		states := tables.States()
 		args.Copies = &states
 	}
-	var reply ZoneReply
-	err := s.client.Call(ctx, collector.Address, zoneCall, args, &reply)
+	reply := new(ZoneReply)
+	err := s.client.Call(ctx, candidate.Address, zoneCall, args, reply)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err != nil {
-		s.recordFailure(collector, err)
-		return
+		s.recordFailure(candidate, err)
+		return nil
 	}
 	s.options.View.MergeCrashEvidence(reply.Crashes)
-	now := time.Now()
 	if tables != nil {
 		tables.Offer(reply.Changes)
 	}
 	s.observeVersions(reply.Versions)
-	s.table.RecordContact(now, reply.Self)
-	s.table.SetZoneLoads(now, reply.Self.Zone, reply.Loads, reply.Instances)
+	s.table.RecordContact(time.Now(), reply.Self)
+	return reply
 }
--- a/internal/loadshare/loadshare_test.go
+++ b/internal/loadshare/loadshare_test.go
@@ -409,15 +409,17 @@
 }
 
 // listing returns a store in which the member is listed.
-func listing(t *testing.T, member loadshare.Member) *memberStore {
+func listing(t *testing.T, members ...loadshare.Member) *memberStore {
 	t.Helper()
 	store := &memberStore{}
-	write, err := platform.NewWrite(instancesTable, string(member.ID), 0, member)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if _, err := store.Commit(context.Background(), write); err != nil {
-		t.Fatal(err)
+	for _, member := range members {
+		write, err := platform.NewWrite(instancesTable, string(member.ID), 0, member)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := store.Commit(context.Background(), write); err != nil {
+			t.Fatal(err)
+		}
 	}
 	return store
 }
