--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -76,25 +76,14 @@
 	connectTime := time.Since(begunAt)
 	attempt.Timeout -= connectTime
 	headTimeout -= connectTime
-	x := &exchange{gateway: g, target: attempt.Target, conn: conn}
-	x.stopCloseOnCancel = context.AfterFunc(ctx, func() { conn.Close() })
+	x := g.newExchange(ctx, attempt.Target, conn)
 	request := g.options.Codec.EncodeAttempt(attempt)
-	if len(attempt.Call.Body) > 0 {
-		request.Body = io.NopCloser(bytes.NewReader(attempt.Call.Body))
-		request.ContentLength = int64(len(attempt.Call.Body))
-	}
 	sentAt := boottime.Now()
 	if g.backsOff(attempt.Target.ID) {
 		x.abort()
 		return nil, errBackedOff
 	}
-	x.setTimeout(headTimeout)
-	err = x.writeRequest(request)
-	if err == nil {
-		err = x.readHead(request, attempt.Call.ID)
-	}
-	if err != nil {
-		x.abort()
+	if err := x.roundTrip(request, attempt.Call, headTimeout); err != nil {
 		if conn.Reused && closedByTarget(err) {
 			err = fmt.Errorf("%w: %w", errStaleConn, err)
 		}
@@ -104,6 +93,30 @@
 	return x, nil
 }
 
+// newExchange returns an exchange on a connection, which is closed if ctx is cancelled before the exchange ends.
+func (g *Gateway) newExchange(ctx context.Context, target fleet.Target, conn *connpool.Conn) *exchange {
+	return &exchange{
+		gateway: g, target: target, conn: conn, stopCloseOnCancel: context.AfterFunc(ctx, func() { conn.Close() }),
+	}
+}
+
+// roundTrip sends the request with the body of the call and reads the head of the response, for which it waits at most timeout. After an
+// error the connection is closed.
+func (x *exchange) roundTrip(request *http.Request, call *Call, timeout time.Duration) error {
+	if len(call.Body) > 0 {
+		request.Body, request.ContentLength = io.NopCloser(bytes.NewReader(call.Body)), int64(len(call.Body))
+	}
+	x.setTimeout(timeout)
+	err := x.writeRequest(request)
+	if err == nil {
+		err = x.readHead(request, call.ID)
+	}
+	if err != nil {
+		x.abort()
+	}
+	return err
+}
+
 // countingWriter counts the bytes written to a connection.
 type countingWriter struct {
 	net.Conn
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -1,11 +1,9 @@
 package gateway
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -15,6 +13,7 @@
 
 	"github.com/hyssophoist/hyssophoist/core/entity"
 	"github.com/hyssophoist/hyssophoist/core/errkind"
+	"github.com/hyssophoist/hyssophoist/core/fleet"
 	"github.com/hyssophoist/hyssophoist/core/relay"
 	"github.com/hyssophoist/hyssophoist/internal/connpool"
 )
@@ -235,21 +234,12 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", errNotSent, err)
 	}
-	x := &exchange{gateway: q.gateway, conn: conn}
-	x.stopCloseOnCancel = context.AfterFunc(ctx, func() { conn.Close() })
+	x := q.gateway.newExchange(ctx, fleet.Target{}, conn)
 	request := q.gateway.options.Codec.EncodeRelay(q.Call, timeout, lastEventID)
 	request.Header.Set(headerRelayedBy, string(options.Self))
 	request.Header.Set(headerRelayAttempts, strconv.Itoa(q.route.MaxAttempts-q.countedTargets()))
 	request.Close = true
-	if len(q.Body) > 0 {
-		request.Body, request.ContentLength = io.NopCloser(bytes.NewReader(q.Body)), int64(len(q.Body))
-	}
-	x.setTimeout(timeout)
-	if err = x.writeRequest(request); err == nil {
-		err = x.readHead(request, q.ID)
-	}
-	if err != nil {
-		x.abort()
+	if err := x.roundTrip(request, q.Call, timeout); err != nil {
 		return nil, err
 	}
 	return x, nil
