Release the connection of a repeated report before it is asked for again

Cause: found on reading the diff. A second request for a report could wait, on the connection that was to be closed, until the first one had asked again on another.

Change: ReportTransport reads the report in a function of its own, which releases the connection. requestSet.add returns nothing, since nothing asks.

--- a/internal/connpool/requestset.go
+++ b/internal/connpool/requestset.go
@@ -12,13 +12,10 @@
 // with the same hash count as the same one.
 type requestSet []uint64
 
-// add adds a request and reports whether the set had it before.
-func (s *requestSet) add(id string) (before bool) {
-	if s.has(id) {
-		return true
+func (s *requestSet) add(id string) {
+	if !s.has(id) {
+		*s = append(*s, maphash.String(requestSeed, id))
 	}
-	*s = append(*s, maphash.String(requestSeed, id))
-	return false
 }
 
 func (s requestSet) has(id string) bool { return slices.Contains(s, maphash.String(requestSeed, id)) }
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -144,7 +144,9 @@
 }
 
 // readHead reads the head of the final response with the given request id. It skips interim responses and responses to other
-// requests. The id does not name the attempt, so that this relies on the pool: a connection carries a request once. One that names no request is taken only on a connection that has carried no other, and ends its reuse.
+// requests. The id does not name the attempt: that no response to an earlier attempt is taken relies on the pool, which gives no
+// connection to a request twice. A response that names no request is taken only on a connection that has carried no other, and
+// ends its reuse.
 func (x *exchange) readHead(request *http.Request, id string) error {
 	for range 1 + maxSkippedResponses {
 		x.conn.LimitReads(maxHeadBytes)
--- a/internal/targethttp/report.go
+++ b/internal/targethttp/report.go
@@ -58,12 +58,13 @@
 	last  []byte
 }
 
-// heldConn is the connection that a request has got. The transport may give it another one if it finds the first one closed.
+// heldConn is the connection that a request has got.
 type heldConn struct {
 	*reportConn
 	reused bool
 }
 
+// replace holds the connection of info in place of the one before: the transport gives a request another one if it finds that one closed.
 func (h *heldConn) replace(info httptrace.GotConnInfo) {
 	h.release()
 	h.reportConn, h.reused = info.Conn.(*reportConn), info.Reused
@@ -78,26 +79,33 @@
 
 // RoundTrip implements http.RoundTripper.
 func (t *ReportTransport) RoundTrip(request *http.Request) (*http.Response, error) {
+	response, repeated, err := t.readReport(request)
+	if repeated {
+		return t.single.RoundTrip(request)
+	}
+	return response, err
+}
+
+// readReport sends the request over a kept connection and reads the response. repeated reports whether it may be a late copy of the report
+// before; its connection is then closed.
+func (t *ReportTransport) readReport(request *http.Request) (response *http.Response, repeated bool, err error) {
 	var conn heldConn
 	defer conn.release()
 	ctx := httptrace.WithClientTrace(request.Context(), &httptrace.ClientTrace{GotConn: conn.replace})
-	response, err := t.kept.RoundTrip(request.WithContext(ctx))
+	response, err = t.kept.RoundTrip(request.WithContext(ctx))
 	if err != nil {
-		return nil, err
+		return nil, false, err
 	}
 	defer response.Body.Close()
 	content, err := io.ReadAll(io.LimitReader(response.Body, t.maxBytes))
 	if err != nil {
-		return nil, err
+		return nil, false, err
 	}
-	if conn.reused && response.StatusCode == http.StatusOK && bytes.Equal(content, conn.last) {
+	repeated = conn.reused && response.StatusCode == http.StatusOK && bytes.Equal(content, conn.last)
+	if repeated || response.StatusCode != http.StatusOK {
 		conn.Close()
-		return t.single.RoundTrip(request)
 	}
 	conn.last = content
-	if response.StatusCode != http.StatusOK {
-		conn.Close()
-	}
 	response.Body = io.NopCloser(bytes.NewReader(content))
-	return response, nil
+	return response, repeated, nil
 }
