Find silent connections to the store where each zone has one instance

Cause: a reader that no other instance of its zone follows waits 20 s for a change in one call. Only the timeout of the call showed the silence, since no instance had newer rows to tell the others.

Evidence: each daemon logs "store lost" once for each table, 21 s after its call began, and has both changes at once after it.

Change: the reader of the first collector has the role to find out (Role.ServesZones). If nobody follows it, its calls wait for the bound, and one that is not answered a fifth of the bound later is cancelled; the next one uses a new connection. Readers of other zones learn from it by the versions that zones exchange, as before. It is one call every two seconds and table for a deployment, none more where zones have several instances.

Tests: TestSilentConnectionsOfSingleInstances failed before in both cases (not known after 10 s), and passed in five runs. TestSilentAfter; TestPollWait has two cases more. TestIdleDeploymentMakesFewStoreCalls passes unchanged.

--- a/core/tablecache/policy.go
+++ b/core/tablecache/policy.go
@@ -14,8 +14,12 @@
 	// rankStep is the time between the reads of two successive ranks.
 	rankStep = 25 * time.Millisecond
 	// maxPollWait is how long the calls of a reader wait if no other instance relies on it. It is long because calls
-	// are billed, and can be long because dead connections are detected by keepalive probes.
+	// are billed, and can be long because dead connections are detected by keepalive probes, or by what a reader with
+	// Role.ServesZones has read.
 	maxPollWait = 20 * time.Second
+	// silentShare is the fraction of that time by which a call of a reader with Role.ServesZones may outlast its wait. Its
+	// connection then counts as silent.
+	silentShare = 0.2
 	// minFresher is how much later a confirmation must be to be passed on without changes.
 	minFresher = 300 * time.Millisecond
 )
@@ -26,6 +30,9 @@
 	Reader bool
 	// Followed reports whether other instances rely on this reader.
 	Followed bool
+	// ServesZones reports whether the readers of other zones rely on this one to find out that their connections to the store are
+	// silent although something answers the keepalive probes. One reader of a deployment does so.
+	ServesZones bool
 	// Rank is the number of instances of the zone that read the store before this one if the reader is lost.
 	Rank int
 }
@@ -43,10 +50,21 @@
 	switch {
 	case !role.Reader:
 		return 0
-	case !role.Followed:
-		return maxPollWait
+	case role.Followed:
+		return max(0, p.share(pollShare)-age)
+	case role.ServesZones:
+		return p.Bound
 	}
-	return max(0, p.share(pollShare)-age)
+	return maxPollWait
+}
+
+// SilentAfter returns the time after which a call that waits for a change counts as made on a silent connection; 0 if it never does,
+// since other instances find out.
+func (p ReadPolicy) SilentAfter(role Role, wait time.Duration) time.Duration {
+	if !role.Reader || role.Followed || !role.ServesZones {
+		return 0
+	}
+	return wait + p.share(silentShare)
 }
 
 // ReadAt returns the time of the next read by an instance whose copy was last confirmed at confirmedAt. A reader reads
--- a/core/tablecache/policy_test.go
+++ b/core/tablecache/policy_test.go
@@ -42,6 +42,8 @@
 		{"confirmed before a pause", Role{Reader: true, Followed: true}, 300 * time.Millisecond, 1700 * time.Millisecond},
 		{"confirmed long ago", Role{Reader: true, Followed: true}, time.Minute, 0},
 		{"reader of its own", Role{Reader: true}, 0, maxPollWait},
+		{"reader of its own, for other zones", Role{Reader: true, ServesZones: true}, time.Second, 4 * time.Second},
+		{"followed, for other zones", Role{Reader: true, Followed: true, ServesZones: true}, 0, 2 * time.Second},
 		{"no reader", Role{}, 0, 0},
 	} {
 		if got := policy.PollWait(test.role, test.age); got != test.want {
@@ -49,3 +51,22 @@
 		}
 	}
 }
+
+// TestSilentAfter guards against a silent connection that the only reader of a deployment takes for one without changes, and against calls
+// that end early although others find out.
+func TestSilentAfter(t *testing.T) {
+	policy := ReadPolicy{Bound: 2 * time.Second}
+	for _, test := range []struct {
+		role Role
+		want time.Duration
+	}{
+		{Role{Reader: true, ServesZones: true}, 2400 * time.Millisecond},
+		{Role{Reader: true, Followed: true, ServesZones: true}, 0},
+		{Role{Reader: true}, 0},
+		{Role{ServesZones: true}, 0},
+	} {
+		if got := policy.SilentAfter(test.role, policy.PollWait(test.role, 0)); got != test.want {
+			t.Errorf("%+v: %v, want %v", test.role, got, test.want)
+		}
+	}
+}
--- a/internal/edge/sharing_test.go
+++ b/internal/edge/sharing_test.go
@@ -19,16 +19,7 @@
 	d.t.Helper()
 	var proxies []*faultproxy.Proxy
 	for range count {
-		proxy, err := faultproxy.New(faultproxy.Options{Target: d.store.Address()})
-		if err != nil {
-			d.t.Fatal(err)
-		}
-		d.t.Cleanup(proxy.Close)
-		proxies = append(proxies, proxy)
-		s := d.daemonSettings("a")
-		s.Store.Address = proxy.Address()
-		daemon := d.startDaemon(s)
-		d.waitUntil("daemon is ready", func() bool { return daemon.notReadyReason() == "" })
+		proxies = append(proxies, d.addDaemonBehindProxy("a"))
 	}
 	d.waitUntil("only the first daemon reads the store", func() bool {
 		for i, daemon := range d.daemons {
@@ -41,6 +32,21 @@
 	return proxies
 }
 
+// addDaemonBehindProxy starts a daemon with a proxy of its own in front of the store.
+func (d *deployment) addDaemonBehindProxy(zone string) *faultproxy.Proxy {
+	d.t.Helper()
+	proxy, err := faultproxy.New(faultproxy.Options{Target: d.store.Address()})
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	d.t.Cleanup(proxy.Close)
+	s := d.daemonSettings(zone)
+	s.Store.Address = proxy.Address()
+	daemon := d.startDaemon(s)
+	d.waitUntil("daemon is ready", func() bool { return daemon.notReadyReason() == "" })
+	return proxy
+}
+
 // awaitVersion waits until the daemons have the configuration version, and fails the test if that takes longer than the
 // bound.
 func (d *deployment) awaitVersion(daemons []*Daemon, version int) {
@@ -214,3 +220,36 @@
 		}
 	}
 }
+
+// TestSilentConnectionsOfSingleInstances guards against a change that instances learn late, each the only one of its zone, since all their
+// open connections to the store are silent and something answers the keepalive probes.
+func TestSilentConnectionsOfSingleInstances(t *testing.T) {
+	t.Parallel()
+	const contactTime = 3 * time.Second
+	for _, zones := range []string{"a", "abc"} {
+		t.Run(zones, func(t *testing.T) {
+			t.Parallel()
+			d := newDeployment(t)
+			var proxies []*faultproxy.Proxy
+			for _, zone := range zones {
+				proxies = append(proxies, d.addDaemonBehindProxy(string(zone)))
+			}
+			time.Sleep(contactTime) // the instances know each other, and wait for changes
+			for _, proxy := range proxies {
+				proxy.Blackhole()
+			}
+			time.Sleep(contactTime)
+			changed := time.Now()
+			d.configure(10, "key-10")
+			d.register(d.plain[0], "draining")
+			for _, daemon := range d.daemons {
+				d.waitUntil("the changes are known", func() bool {
+					return daemon.gateway.Configuration().Version >= 10 && daemon.plainTargetsInService() == "plain-1"
+				})
+				if took := time.Since(changed); took > changeBound {
+					t.Errorf("%s knew the changes after %v, bound %v", daemon.settings.Daemon, took, changeBound)
+				}
+			}
+		})
+	}
+}
--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -405,8 +405,9 @@
 		now := time.Now()
 		reader := s.table.Reader(now, tables.ReadsFailing())
 		followed := len(s.table.Members(now)) > 1
+		rank, _ := s.table.CollectorRank(now)
 		s.mu.Unlock()
-		tables.SetRole(tablecache.Role{Reader: reader.ID == s.options.Self.ID, Followed: followed})
+		tables.SetRole(tablecache.Role{Reader: reader.ID == s.options.Self.ID, Followed: followed, ServesZones: rank == 0})
 	}
 	if period%zonePeriods == 0 {
 		s.mu.Lock()
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -64,6 +64,9 @@
 // errLagging means that another instance saw a newer row of the table more than maxLag ago.
 var errLagging = errors.New("another instance has a newer row; the connection is unresponsive")
 
+// errSilent means that the store has not answered a call although its wait has passed.
+var errSilent = errors.New("the store does not answer; the connection is unresponsive")
+
 // errRoleChanged means that a call was canceled because other instances now rely on this reader.
 var errRoleChanged = errors.New("the reader role has changed")
 
@@ -184,7 +187,8 @@
 	if changed && role.Reader {
 		w.notBefore = time.Time{}
 	}
-	if role.Followed && !w.role.Followed && w.cancelCall != nil && w.cache.Loaded() {
+	reliedOn := role.Followed && !w.role.Followed || role.ServesZones && !w.role.ServesZones
+	if reliedOn && w.cancelCall != nil && w.cache.Loaded() {
 		w.cancelCall(errRoleChanged)
 	}
 	w.role = role
@@ -410,6 +414,10 @@
 	if w.failures > 0 {
 		wait = 0 // the store may be another one, whose era only an answer shows
 	}
+	if silentAfter := w.options.Policy.SilentAfter(w.role, wait); !whole && wait > 0 && silentAfter > 0 {
+		silent := time.AfterFunc(silentAfter, func() { cancel(errSilent) })
+		defer silent.Stop()
+	}
 	w.readNow = false
 	w.mu.Unlock()
 	var batch tablecache.Batch
@@ -423,7 +431,7 @@
 	w.cancelCall = nil
 	w.mu.Unlock()
 	if err != nil {
-		for _, reason := range []error{errLagging, errRoleChanged, errRestored} {
+		for _, reason := range []error{errLagging, errRoleChanged, errRestored, errSilent} {
 			if errors.Is(context.Cause(ctx), reason) {
 				return tablecache.Batch{}, reason
 			}
