Read whether a connection was reused before it returns to the pool

Change: an exchange keeps what it was when it got the connection.

Result: the race part passes for internal/gateway, and six times for TestLateCopiesAreNoAnswers, TestLeavingTargetsAreLastResort and TestExtraResponseReachesNoOtherCaller, which failed.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -48,9 +48,12 @@
 
 // exchange is one request and its response on one connection.
 type exchange struct {
-	gateway  *Gateway
-	target   fleet.Target
-	conn     *connpool.Conn
+	gateway *Gateway
+	target  fleet.Target
+	conn    *connpool.Conn
+	// reused reports whether conn had carried other requests before. It stays valid once conn is back in the pool, where another request
+	// may take it.
+	reused   bool
 	response *http.Response
 	head     ResponseHead
 	// stopCloseOnCancel stops the closing of conn on cancellation; it returns false if that has already begun.
@@ -84,7 +87,7 @@
 		return nil, errBackedOff
 	}
 	if err := x.roundTrip(request, attempt.Call, headTimeout); err != nil {
-		if conn.Reused && closedByTarget(err) {
+		if x.reused && closedByTarget(err) {
 			err = fmt.Errorf("%w: %w", errStaleConn, err)
 		}
 		return nil, err
@@ -96,7 +99,8 @@
 // newExchange returns an exchange on a connection, which is closed if ctx is cancelled before the exchange ends.
 func (g *Gateway) newExchange(ctx context.Context, target fleet.Target, conn *connpool.Conn) *exchange {
 	return &exchange{
-		gateway: g, target: target, conn: conn, stopCloseOnCancel: context.AfterFunc(ctx, func() { conn.Close() }),
+		gateway: g, target: target, conn: conn, reused: conn.Reused,
+		stopCloseOnCancel: context.AfterFunc(ctx, func() { conn.Close() }),
 	}
 }
 
@@ -163,7 +167,7 @@
 		}
 		head := x.gateway.options.Codec.DecodeResponseHead(response)
 		x.recordIfLeaving(head, id)
-		if head.RequestID == id || head.RequestID == "" && !x.conn.Reused {
+		if head.RequestID == id || head.RequestID == "" && !x.reused {
 			x.response, x.head = response, head
 			return nil
 		}
--- a/internal/gateway/streamfailure.go
+++ b/internal/gateway/streamfailure.go
@@ -103,7 +103,7 @@
 	if !found || head.Status != http.StatusServiceUnavailable || elapsed > maxRefusalTime {
 		log.Event("stream not run for another reason than a full engine", "request", s.ID, "status", head.Status,
 			"faulty", head.FaultyAddress, "path", formatPath(s.currentPath()), "ms", elapsed.Milliseconds(),
-			"conn", x.conn.LocalAddr().String(), "reused", x.conn.Reused)
+			"conn", x.conn.LocalAddr().String(), "reused", x.reused)
 		s.recordFault(head.FaultyAddress, "engines of the path did not run the request")
 		return
 	}
@@ -112,7 +112,7 @@
 	s.gateway.dispatcher.Fleet.RecordOverload(boottime.Now(), target.ID)
 	s.gateway.mu.Unlock()
 	log.Event("engine refused a stream", "target", target.ID, "request", s.ID, "ms", elapsed.Milliseconds(),
-		"conn", x.conn.LocalAddr().String(), "reused", x.conn.Reused)
+		"conn", x.conn.LocalAddr().String(), "reused", x.reused)
 	answered := s.currentPath().Stages[0].Target.ID == target.ID
 	go s.gateway.suspectAfterRefusal(context.WithoutCancel(ctx), target, s.ID, answered)
 }
