--- a/core/loadshare/loadshare.go
+++ b/core/loadshare/loadshare.go
@@ -112,6 +112,12 @@
 	downSince   time.Time
 }
 
+// isUp reports whether the member is not in the backoff after a failure.
+func (m *member) isUp(now time.Time) bool { return !now.Before(m.downUntil) }
+
+// inContact reports whether the loads of the member still count according to loadTTL.
+func (m *member) inContact(now time.Time) bool { return now.Sub(m.lastContact) < loadTTL }
+
 // Table holds what one instance knows about the others. It is not safe for concurrent use.
 type Table struct {
 	self    Member
@@ -157,7 +163,7 @@
 func (t *Table) upMembers(now time.Time, zone entity.ZoneID) []Member {
 	var members []Member
 	for _, m := range t.members {
-		if m.Zone == zone && !now.Before(m.downUntil) {
+		if m.Zone == zone && m.isUp(now) {
 			members = append(members, m.Member)
 		}
 	}
@@ -168,7 +174,7 @@
 func (t *Table) AllOthers(now time.Time) []Member {
 	members := make([]Member, 0, len(t.members))
 	for _, m := range t.members {
-		if !now.Before(m.downUntil) {
+		if m.isUp(now) {
 			members = append(members, m.Member)
 		}
 	}
@@ -190,7 +196,7 @@
 		members = slices.DeleteFunc(members, func(m Member) bool { return compareMembers(m, t.self) > 0 })
 	}
 	slices.SortFunc(members, compareMembers)
-	inContact := slices.IndexFunc(members, func(m Member) bool { return now.Sub(t.members[m.ID].lastContact) < loadTTL })
+	inContact := slices.IndexFunc(members, func(m Member) bool { return t.members[m.ID].inContact(now) })
 	if inContact >= 0 {
 		members = members[:inContact+1]
 	}
@@ -200,7 +206,7 @@
 // OtherZones returns the other zones in which an instance is not down, sorted.
 func (t *Table) OtherZones(now time.Time) (zones []entity.ZoneID) {
 	for _, m := range t.members {
-		if m.Zone != t.self.Zone && !now.Before(m.downUntil) && !slices.Contains(zones, m.Zone) {
+		if m.Zone != t.self.Zone && m.isUp(now) && !slices.Contains(zones, m.Zone) {
 			zones = append(zones, m.Zone)
 		}
 	}
@@ -237,16 +243,9 @@
 
 // OtherCollectors returns the collectors of the other zones, sorted by ID.
 func (t *Table) OtherCollectors(now time.Time) []Member {
-	seen := map[entity.ZoneID]bool{t.self.Zone: true}
 	var collectors []Member
-	for _, m := range t.members {
-		if seen[m.Zone] {
-			continue
-		}
-		seen[m.Zone] = true
-		if members := t.upMembers(now, m.Zone); len(members) > 0 {
-			collectors = append(collectors, slices.MinFunc(members, compareMembers))
-		}
+	for _, zone := range t.OtherZones(now) {
+		collectors = append(collectors, slices.MinFunc(t.upMembers(now, zone), compareMembers))
 	}
 	slices.SortFunc(collectors, func(a, b Member) int { return cmp.Compare(a.ID, b.ID) })
 	return collectors
@@ -335,7 +334,7 @@
 // order of compareMembers.
 func (t *Table) InContact(now time.Time) []Member {
 	members := slices.DeleteFunc(t.upMembers(now, t.self.Zone), func(m Member) bool {
-		return now.Sub(t.members[m.ID].lastContact) >= loadTTL
+		return !t.members[m.ID].inContact(now)
 	})
 	slices.SortFunc(members, compareMembers)
 	return members
@@ -353,7 +352,7 @@
 	sum.add(own)
 	instances := 1
 	for _, m := range t.members {
-		if m.Zone == t.self.Zone && now.Sub(m.lastContact) < loadTTL {
+		if m.Zone == t.self.Zone && m.inContact(now) {
 			sum.add(m.report.Loads)
 			instances++
 		}
@@ -376,7 +375,7 @@
 		sum.add(own)
 	}
 	for id, m := range t.members {
-		if m.Zone != t.self.Zone || now.Sub(m.lastContact) >= loadTTL {
+		if m.Zone != t.self.Zone || !m.inContact(now) {
 			continue
 		}
 		instances.Zone++
--- a/internal/connpool/connpool.go
+++ b/internal/connpool/connpool.go
@@ -9,6 +9,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"hash/maphash"
 	"net"
 	"slices"
 	"sync"
@@ -50,8 +51,8 @@
 	// Reused reports whether the connection has carried a request before.
 	Reused  bool
 	address string
-	// carried holds the requests that the connection has carried.
-	carried requestSet
+	// carried holds the requests that the connection has carried, the one in progress last.
+	carried []requestKey
 	// idleSince and idleUntil are set while the connection is idle in the pool.
 	idleSince, idleUntil time.Time
 	limiter              *readLimiter
@@ -84,6 +85,15 @@
 	return n, err
 }
 
+// requestKey is the hash of the id of a request: long ids take no more memory than short ones. Two requests with the same hash count
+// as the same one.
+type requestKey uint64
+
+// keySeed makes the hashes of request ids, which callers choose, unpredictable.
+var keySeed = maphash.MakeSeed()
+
+func keyOf(requestID string) requestKey { return requestKey(maphash.String(keySeed, requestID)) }
+
 // Use is what a connection is wanted for.
 type Use struct {
 	// Address is the host:port of the target.
@@ -138,14 +148,15 @@
 // Get returns a connection for a use: an idle one that has not carried the same request, if there is one and use.New is false,
 // otherwise a new one. An error means that no connection could be opened, so nothing was sent.
 func (p *Pool) Get(ctx context.Context, use Use) (*Conn, error) {
+	request := keyOf(use.RequestID)
 	for !use.New {
-		conn := p.popIdle(use)
+		conn := p.popIdle(use.Address, request)
 		if conn == nil {
 			break
 		}
 		if time.Now().Before(conn.idleUntil) && conn.reusable() {
 			conn.Reused = true
-			conn.carried.add(use.RequestID)
+			conn.carried = append(conn.carried, request)
 			return conn, nil
 		}
 		conn.Close()
@@ -158,11 +169,10 @@
 		p.OnDial()
 	}
 	limiter := &readLimiter{conn: opened, remaining: -1}
-	conn := &Conn{
+	return &Conn{
 		Conn: opened, Reader: bufio.NewReaderSize(limiter, readBufferSize), address: use.Address, limiter: limiter,
-	}
-	conn.carried.add(use.RequestID)
-	return conn, nil
+		carried: []requestKey{request},
+	}, nil
 }
 
 // dial opens a connection. A timeout that is noticed late comes from a pause of this process, not from the target, so the
@@ -189,13 +199,13 @@
 }
 
 // popIdle takes from the pool the idle connection used last that has not carried the request; nil if there is none.
-func (p *Pool) popIdle(use Use) *Conn {
+func (p *Pool) popIdle(address string, request requestKey) *Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	conns := p.idle[use.Address]
+	conns := p.idle[address]
 	for i := len(conns) - 1; i >= 0; i-- {
-		if conn := conns[i]; !conn.carried.has(use.RequestID) {
-			p.idle[use.Address] = slices.Delete(conns, i, i+1)
+		if conn := conns[i]; !slices.Contains(conn.carried, request) {
+			p.idle[address] = slices.Delete(conns, i, i+1)
 			p.idleCount--
 			return conn
 		}
--- a/internal/edge/latecopy_test.go
+++ b/internal/edge/latecopy_test.go
@@ -46,8 +46,8 @@
 // maxTargets is the number of targets on which a request that may be repeated may run.
 const maxTargets = 2
 
-// checkRunsOfCall makes a request and reports an error if it has run more often than its route allows, or has run although the
-// response says that it has not.
+// checkRunsOfCall makes a request and reports an error if it has run more often than its route allows, or has run although it
+// was refused.
 func (d *deployment) checkRunsOfCall(daemon *Daemon, path, id string) {
 	method := http.MethodPost
 	if path == "/read/" {
--- a/internal/emulator/edgeplatform/configuration.go
+++ b/internal/emulator/edgeplatform/configuration.go
@@ -18,7 +18,8 @@
 }
 
 // Configuration is an operator's configuration for tests: streams at /gen/, and streams that may not be resumed at
-// /gen-once/, to the service llm, whose engines hold up to four layers each, and postings at /post/ and lookups at /read/ to the service ledger.
+// /gen-once/, to the service llm, whose engines hold up to four layers each, and postings at /post/ and lookups at /read/
+// to the service ledger.
 type Configuration struct {
 	Version int
 	// Account is the only client account, Keys are its API keys.
--- a/internal/emulator/edgeplatform/refusal.go
+++ b/internal/emulator/edgeplatform/refusal.go
@@ -20,8 +20,7 @@
 			return
 		}
 		w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
-		w.Header().Set("X-Not-Executed", "1")
 		w.Header().Set("Retry-After", strconv.FormatFloat(wait.Seconds(), 'f', 3, 64))
-		w.WriteHeader(http.StatusServiceUnavailable)
+		refuse(w, "")
 	})
 }
--- a/internal/emulator/edgeplatform/serving.go
+++ b/internal/emulator/edgeplatform/serving.go
@@ -60,18 +60,11 @@
 	case misdirected:
 		w.WriteHeader(http.StatusMisdirectedRequest)
 	case pathRefused:
-		w.Header().Set("X-Not-Executed", "1")
-		w.Header().Set("At-Server", faults.RefusePathsVia)
-		w.WriteHeader(http.StatusServiceUnavailable)
+		refuse(w, faults.RefusePathsVia)
 	case first:
-		w.Header().Set("X-Not-Executed", "1")
-		if address := lastHop(r); address != "" {
-			w.Header().Set("At-Server", address)
-		}
-		w.WriteHeader(http.StatusServiceUnavailable)
+		refuse(w, lastHop(r))
 	case faults.Refuse:
-		w.Header().Set("X-Not-Executed", "1")
-		w.WriteHeader(http.StatusServiceUnavailable)
+		refuse(w, "")
 	case faults.Hang:
 		<-r.Context().Done()
 	case faults.LoseResponses:
@@ -85,6 +78,15 @@
 	}
 }
 
+// refuse answers that the request has not run. faulty is the address of the engine that is the cause; empty if that is not said.
+func refuse(w http.ResponseWriter, faulty string) {
+	w.Header().Set("X-Not-Executed", "1")
+	if faulty != "" {
+		w.Header().Set("At-Server", faulty)
+	}
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
 // hasReceived reports whether a request has arrived before. The caller holds t.mu.
 func (t *Target) hasReceived(id string) bool {
 	return slices.ContainsFunc(t.arrivals, func(a Arrival) bool { return a.RequestID == id })
--- a/internal/gateway/latecopy_test.go
+++ b/internal/gateway/latecopy_test.go
@@ -18,22 +18,9 @@
 // the first response again when the second request has arrived. The body of a response is the number of its request at the target.
 func copyingTarget(t *testing.T, status int) fleet.Target {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { listener.Close() })
 	requests := new(atomic.Int32)
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go serveCopies(conn, status, requests)
-		}
-	}()
-	return fleet.Target{ID: "t", Service: "s", Address: listener.Addr().String(), Born: 1}
+	address := listenEach(t, func(conn net.Conn) { serveCopies(conn, status, requests) })
+	return fleet.Target{ID: "t", Service: "s", Address: address, Born: 1}
 }
 
 // serveCopies serves a connection of a copyingTarget until it is closed. requests counts the requests at the target.
--- a/internal/gateway/refusedconn_test.go
+++ b/internal/gateway/refusedconn_test.go
@@ -44,28 +44,37 @@
 
 func (refusalCodec) WriteError(http.ResponseWriter, string, errkind.Kind, time.Duration) {}
 
-// refusingTarget accepts connections and answers each request with the parts of a response, with pauses between them. It
-// returns the target, a gateway that knows it and the number of opened connections.
-func refusingTarget(t *testing.T, pause time.Duration, parts ...string) (*Gateway, fleet.Target, *atomic.Int32) {
+// listenEach starts a listener that serves each connection in a goroutine until the test ends, and returns its address.
+func listenEach(t *testing.T, serve func(net.Conn)) (address string) {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { listener.Close() })
-	accepted := new(atomic.Int32)
 	go func() {
 		for {
 			conn, err := listener.Accept()
 			if err != nil {
 				return
 			}
-			accepted.Add(1)
-			go serveRefusals(conn, pause, parts)
+			go serve(conn)
 		}
 	}()
+	return listener.Addr().String()
+}
+
+// refusingTarget accepts connections and answers each request with the parts of a response, with pauses between them. It
+// returns the target, a gateway that knows it and the number of opened connections.
+func refusingTarget(t *testing.T, pause time.Duration, parts ...string) (*Gateway, fleet.Target, *atomic.Int32) {
+	t.Helper()
+	accepted := new(atomic.Int32)
+	address := listenEach(t, func(conn net.Conn) {
+		accepted.Add(1)
+		serveRefusals(conn, pause, parts)
+	})
 	g := New(Options{Codec: refusalCodec{}, Pool: connpool.New(), Engines: &fakeEngines{}})
-	target := fleet.Target{ID: "t", Service: "s", Address: listener.Addr().String(), Born: 1}
+	target := fleet.Target{ID: "t", Service: "s", Address: address, Born: 1}
 	g.dispatcher.Fleet.Put(target)
 	return g, target, accepted
 }
--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -8,7 +8,6 @@
 	"fmt"
 	"net"
 	"net/rpc"
-	"slices"
 	"sync"
 	"time"
 
@@ -305,17 +304,12 @@
 		return
 	}
 	skipLoads := period%loadshare.PeriodsBetweenLoads(known) != 0
-	replies := make([]*ShareReply, len(candidates))
-	var calls sync.WaitGroup
-	for i, candidate := range candidates {
-		calls.Go(func() { replies[i] = s.share(ctx, candidate, known, skipLoads) })
-	}
-	calls.Wait()
-	replies = slices.DeleteFunc(replies, func(reply *ShareReply) bool { return reply == nil })
-	if len(replies) == 0 {
+	collector := firstReply(candidates, func(candidate loadshare.Member) *ShareReply {
+		return s.share(ctx, candidate, known, skipLoads)
+	})
+	if collector == nil {
 		return
 	}
-	collector := replies[0]
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.collectorID, s.placerID = collector.Self.ID, collector.Placer
@@ -325,6 +319,22 @@
 	}
 }
 
+// firstReply asks all candidates at the same time and returns the reply of the first one in their order that answers; nil if none does.
+func firstReply[Reply any](candidates []loadshare.Member, ask func(loadshare.Member) *Reply) *Reply {
+	replies := make([]*Reply, len(candidates))
+	var calls sync.WaitGroup
+	for i, candidate := range candidates {
+		calls.Go(func() { replies[i] = ask(candidate) })
+	}
+	calls.Wait()
+	for _, reply := range replies {
+		if reply != nil {
+			return reply
+		}
+	}
+	return nil
+}
+
 // share sends this instance's loads to a candidate for the collector and records what it knows; the reply is nil if it does not answer.
 func (s *Sharer) share(ctx context.Context, candidate loadshare.Member, known int, skipLoads bool) *ShareReply {
 	args := s.shareArgs(candidate, known)
@@ -433,17 +443,12 @@
 
 // exchangeZone exchanges sums with the collector of another zone, the first of the candidates that answers.
 func (s *Sharer) exchangeZone(ctx context.Context, candidates []loadshare.Member, sum loadshare.Loads, instances int) {
-	replies := make([]*ZoneReply, len(candidates))
-	var calls sync.WaitGroup
-	for i, candidate := range candidates {
-		calls.Go(func() { replies[i] = s.shareWithZone(ctx, candidate, sum, instances) })
-	}
-	calls.Wait()
-	answered := slices.IndexFunc(replies, func(reply *ZoneReply) bool { return reply != nil })
-	if answered < 0 {
+	collector := firstReply(candidates, func(candidate loadshare.Member) *ZoneReply {
+		return s.shareWithZone(ctx, candidate, sum, instances)
+	})
+	if collector == nil {
 		return
 	}
-	collector := replies[answered]
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.table.SetZoneLoads(time.Now(), collector.Self.Zone, collector.Loads, collector.Instances)
--- a/internal/loadshare/previousbuild_test.go
+++ b/internal/loadshare/previousbuild_test.go
@@ -144,17 +144,24 @@
 			t.Fatal(err)
 		}
 	}
-	for _, message := range append(messages(), new(loadshare.Member), new(lease.Record)) {
+	writeJSON := func(value any) (name string) {
 		next := 0
-		fill(reflect.ValueOf(message).Elem(), &next)
+		fill(reflect.ValueOf(value).Elem(), &next)
+		name = reflect.TypeOf(value).Elem().Name()
+		text, _ := jsonOf(t, value)
+		write(name+".json", text)
+		return name
+	}
+	for _, message := range messages() {
+		name := writeJSON(message)
 		var encoded bytes.Buffer
 		if err := gob.NewEncoder(&encoded).Encode(message); err != nil {
 			t.Fatal(err)
 		}
-		name := reflect.TypeOf(message).Elem().Name()
-		text, _ := jsonOf(t, message)
 		write(name+".gob", encoded.Bytes())
-		write(name+".json", text)
+	}
+	for _, row := range []any{new(loadshare.Member), new(lease.Record)} {
+		writeJSON(row)
 	}
 }
 
