review: show a failure that a broken answer turns into a success

Cause: on a reused connection a head is trusted if it names the request's id, whatever came before it.

Change: case 14, a script with a server that writes a second answer, late and broken off. The late heartbeat, which was case 14, is case 15. No code of the project changes.

--- a/review/_cases-3/standin/main.go
+++ b/review/_cases-3/standin/main.go
@@ -19,7 +19,7 @@
 const limit = 110 * time.Second
 
 var cases = map[string]func(w *world, trouble bool) (int, error){
-	"refused": refusedAfterRun, "entry": foreignEntry, "beat": lateBeat, "crash": foreignEngine, "draft": draftManifest,
+	"refused": refusedAfterRun, "entry": foreignEntry, "beat": lateBeat, "crash": foreignEngine, "extra": extraAnswer,
 }
 
 func main() {
--- a/review/_cases-3/standin/world.go
+++ b/review/_cases-3/standin/world.go
@@ -38,6 +38,7 @@
 	log      *os.File
 	runs     map[string][]run
 	arrivals []arrival
+	answers  map[string]serverAnswer
 	requests int
 }
 
@@ -58,7 +59,7 @@
 	if err != nil {
 		return nil, err
 	}
-	w := &world{began: time.Now(), log: log, scratch: scratch, runs: make(map[string][]run)}
+	w := &world{began: time.Now(), log: log, scratch: scratch, runs: make(map[string][]run), answers: make(map[string]serverAnswer)}
 	w.store, err = newStore()
 	return w, err
 }
