--- a/review/_cases-3/standin/world.go
+++ b/review/_cases-3/emulator/edgeplatform/world.go
@@ -1,4 +1,4 @@
-// Command standin runs one case of the third review: it starts the edge daemons as the deploy file does, stands in for the
+// Command edgeplatform runs one case of the third review: it starts the edge daemons as the deploy file does, stands in for the
 // platform, the servers and the clients, and judges what these have seen.
 package main
 
