--- a/internal/edge/observers.go
+++ b/internal/edge/observers.go
@@ -137,7 +137,7 @@
 	}
 	log.Event("target changed", "target", id, "service", target.Service, "address", target.Address, "zone", target.Zone,
 		"card", target.Card, "from", target.Layers.From, "to", target.Layers.To, "draining", target.Draining,
-		"changing", target.Changing, "row", row.Version)
+		"changing", target.Changing, "born", target.Born, "revision", target.Revision, "row", row.Version)
 }
 
 // StoreLost implements watch.Observer.
