Plan placements in spite of layers that the model does not have

Cause: one entry of another writer lists an engine with layers 8 to 10 of a model of 8. When an engine leaves, the planner looks for one whose layers others hold too, and indexes its counts with the listed layers: index out of range [8] with length 8 in redundant. Nothing between the entry and the planner checks the range, and a panic there ends the process; the entry stays, so that the next process ends too.

Change: Plan leaves out the layers of holders that the model does not have, in one place for all its parts. A plan that panics all the same yields no orders for its service and a log line, at most once in 10 s; the other services are planned.

Result: TestLayersOutsideTheModel ended with that panic before.

--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -63,8 +63,12 @@
 }
 
 // Plan returns the orders needed for each group of holders to hold the whole model and replicas of some of its layers,
-// most urgent first.
+// most urgent first. Layers of holders that the model does not have are left out.
 func Plan(engine *routing.Engine, holders []Holder) []Order {
+	holders = slices.Clone(holders)
+	for i := range holders {
+		holders[i].Held = layersOfModel(engine, holders[i].Held)
+	}
 	holdersInDeployment := make([]int, engine.Layers)
 	for _, holder := range holders {
 		if !holder.Lost {
@@ -92,6 +96,16 @@
 	return orders
 }
 
+// layersOfModel returns the part of a range that the model has. The ranges come from the list of engines, which other writers than
+// engines write too.
+func layersOfModel(engine *routing.Engine, held entity.LayerRange) entity.LayerRange {
+	from, to := max(0, held.From), min(held.To, engine.Layers)
+	if to <= from {
+		return entity.LayerRange{}
+	}
+	return entity.LayerRange{From: from, To: to}
+}
+
 // priority returns the rank of an order; lower ranks are more urgent.
 func priority(o Order) int {
 	if o.Reason == reasonReplica {
@@ -373,7 +387,7 @@
 
 // addHolders adds delta to the numbers of holders of layers.
 func addHolders(holders []int, layers entity.LayerRange, delta int) {
-	for layer := max(0, layers.From); layer < min(layers.To, len(holders)); layer++ {
+	for layer := layers.From; layer < layers.To; layer++ {
 		holders[layer] += delta
 	}
 }
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -6,8 +6,10 @@
 
 import (
 	"context"
+	"fmt"
 	"maps"
 	"math/rand/v2"
+	"runtime/debug"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -67,6 +69,9 @@
 	// so that it is free for the layers of an engine that it may replace.
 	newEnginePeriod = 1500 * time.Millisecond
 
+	// planFailureLogInterval is the least time between two log lines on plans that panicked. A plan is made in each tick.
+	planFailureLogInterval = 10 * time.Second
+
 	// leaseKey is the row key of the lease, which covers all placements.
 	leaseKey = "placement"
 )
@@ -165,6 +170,8 @@
 	// engine was seen.
 	engineCount            int
 	grownAt, firstEngineAt time.Time
+	// planFailureLoggedAt is when a plan that panicked was last logged.
+	planFailureLoggedAt time.Time
 	// processes holds the current process of each engine.
 	processes map[entity.TargetID]process
 
@@ -271,12 +278,30 @@
 	var orders []placement.Order
 	for id, service := range configuration.Services {
 		if service.Engine != nil {
-			orders = append(orders, placement.Plan(service.Engine, holders[id])...)
+			orders = append(orders, p.planService(now, service, holders[id])...)
 		}
 	}
 	return orders, targets
 }
 
+// planService returns the orders for the engines of one service. A plan that panics yields none: it is computed from entries that any
+// writer may have written, and a panic would end the processes of all instances that plan, again after each start.
+func (p *Placer) planService(now time.Time, service *routing.Service, holders []placement.Holder) (orders []placement.Order) {
+	defer func() {
+		cause := recover()
+		if cause == nil {
+			return
+		}
+		orders = nil
+		if now.Sub(p.planFailureLoggedAt) >= planFailureLogInterval {
+			p.planFailureLoggedAt = now
+			log.Event("placement not planned", "service", service.ID, "engines", len(holders), "panic", fmt.Sprint(cause),
+				"stack", string(debug.Stack()))
+		}
+	}()
+	return placement.Plan(service.Engine, holders)
+}
+
 // holder describes an engine for the plan, including its pending order. It drops that order once the engine's entry
 // confirms it.
 func (p *Placer) holder(now time.Time, f *fleet.Fleet, state *fleet.State, lost bool) placement.Holder {
