--- a/internal/emulator/edgeplatform/target.go
+++ b/internal/emulator/edgeplatform/target.go
@@ -173,6 +173,7 @@
 	entry := map[string]any{
 		"seq":     t.entries,
 		"service": t.Service, "addr": t.advertised, "zone": t.Zone, "version": "v1", "slots": 8, "state": state, "born": t.born,
+		"coldLeftMs": 0,
 	}
 	if t.Card != "" {
 		entry["routeKind"] = t.Card
