Pass over entries of services and layers that the deployment lacks

Cause: nothing compares an entry with the configuration.

Change: an entry is checked against the configuration in force before it is applied. One that does not fit waits, and is checked again with each new configuration, since servers register before a manifest names their service. Later entries of a process in use are accepted, so that a manifest that drops a service breaks nothing off.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -78,6 +78,7 @@
 	callers       *callerconn.Listener
 	shed          shedLog
 	auxiliary     []*http.Server
+	entries       targetEntries
 	targetsLoaded atomic.Bool // set after the first read of the list of targets
 	draining      atomic.Bool
 	wg            sync.WaitGroup
@@ -160,6 +161,7 @@
 	followLeaving(s, g, engines)
 	d := &Daemon{
 		settings: s, gateway: g, pool: pool, store: store, tables: t, placer: p, sharer: sharer, metrics: m,
+		entries: targetEntries{waiting: make(map[entity.TargetID]waitingEntry)},
 	}
 	lifecycle.Append(fx.Hook{OnStart: d.start, OnStop: d.stop})
 	return d
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -31,6 +31,8 @@
 	Orders *prometheus.CounterVec
 	// StoreErrors counts failed reads of the store by what was read.
 	StoreErrors *prometheus.CounterVec
+	// PassedOverEntries counts entries in the list of targets that name no target.
+	PassedOverEntries prometheus.Counter
 	// UnansweredConnections counts connections of callers that were closed although a request, or a part of one, had
 	// arrived and nothing was written back.
 	UnansweredConnections prometheus.Counter
@@ -71,6 +73,10 @@
 		StoreErrors: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "hyssophoist_edge_store_errors_total", Help: "Failed reads of the platform's store by what was read.",
 		}, []string{"read"}),
+		PassedOverEntries: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "hyssophoist_edge_passed_over_entries_total",
+			Help: "Entries in the list of targets that name no target, each time that they were written.",
+		}),
 		UnansweredConnections: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "hyssophoist_edge_unanswered_connections_total",
 			Help: "Connections of callers closed without an answer to what they had sent.",
@@ -88,7 +94,7 @@
 		}),
 	}
 	m.registry.MustRegister(m.Requests, m.Duration, m.BrokenStreams, m.Refusals, m.Dials, m.Orders, m.StoreErrors,
-		m.UnansweredConnections, m.CrossedConnections, m.ShedConnections, m.ConfigurationVersion, collectors.NewGoCollector())
+		m.PassedOverEntries, m.UnansweredConnections, m.CrossedConnections, m.ShedConnections, m.ConfigurationVersion, collectors.NewGoCollector())
 	return m
 }
 
