Use a target on for some time after another writer has overwritten its entry

What callers saw: requests are refused although a sound target could serve them, until its next heartbeat 1.2 s later; its layers are placed elsewhere and the state of its connections is lost.

Cause: an entry that names no target counts as the removal of the target that has its key, which is dropped at once. Such an entry says nothing of that target: it may be sound.

Change: the target is used until 0.9 of the drain bound after the store last confirmed its own entry. That is longer than its heartbeat, and short enough if its entry had said in between that it leaves. A second such entry does not lengthen the time.

--- a/core/fleet/removal.go
+++ b/core/fleet/removal.go
@@ -25,11 +25,14 @@
 	// RecoveredAt is when reads last succeeded again after failed ones; zero if none has failed. Other instances may have
 	// reached the store all the while.
 	RecoveredAt time.Time
+	// Overwritten reports whether the entry was not removed but replaced by one that no target has written. The target may be
+	// sound and write its own entry again.
+	Overwritten bool
 }
 
 // usableUntil returns until when the target is still used, since its entry may only have lapsed in an outage. An entry
 // that may have been removed on purpose while other instances reached the store counts as removed right after it was last
-// confirmed.
+// confirmed, and so does one that was overwritten: it may have said before that the target is leaving.
 func (r Removal) usableUntil(drainBound time.Duration) time.Time {
 	limit := r.After.Add(time.Duration(removalShare * float64(drainBound)))
 	afterOutage := r.ReturnedAt.Add(lapseRecoveryTime)
@@ -37,6 +40,9 @@
 		afterOutage = earlier(afterOutage, limit)
 	}
 	afterFailures := earlier(r.RecoveredAt.Add(lapseRecoveryTime), limit)
+	if r.Overwritten {
+		afterFailures = limit
+	}
 	if afterFailures.After(afterOutage) {
 		return afterFailures
 	}
@@ -51,7 +57,7 @@
 }
 
 // Remove handles the removal of a target's entry from the list. It reports whether the target stays in use for some time,
-// because its entry may only have lapsed in an outage of the store.
+// because its entry may only have lapsed in an outage of the store, or has been overwritten.
 func (f *Fleet) Remove(now time.Time, id entity.TargetID, removal Removal) (kept bool) {
 	state := f.targets.Get(id)
 	if state == nil {
--- a/internal/edge/otherwriter_test.go
+++ b/internal/edge/otherwriter_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"maps"
+	"net/http"
+	"slices"
 	"testing"
 	"time"
 
@@ -72,6 +74,59 @@
 	}
 }
 
+// TestOverwrittenTargetIsUsed guards against sound targets that get no requests because another writer has replaced their entries, and
+// against later entries of theirs that count as old because of its numbers.
+func TestOverwrittenTargetIsUsed(t *testing.T) {
+	t.Parallel()
+	for name, fields := range malformedEntries {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			d := newDeployment(t)
+			daemon := d.addDaemonAndAwaitPlacement()
+			for _, target := range slices.Concat(d.plain, d.engines) {
+				d.overwrite(target.ID, target, fields)
+			}
+			d.checkServed(d.daemons, changeBound/2)
+			d.checkWholeStream(d.stream(daemon, "overwritten"))
+			for _, target := range slices.Concat(d.plain, d.engines) {
+				d.register(target, "ready")
+			}
+			d.checkServed(d.daemons, changeBound)
+			d.checkWholeStream(d.stream(daemon, "written again"))
+			for _, target := range d.plain {
+				d.register(target, "draining")
+			}
+			d.waitUntil("their later entries are known", func() bool { return daemon.plainTargetsInService() == "" })
+		})
+	}
+}
+
+// TestOverwrittenTargetIsDroppedInTime guards against requests that reach a target later than the drain bound after its entry was
+// overwritten: it may have said before that it is leaving, or have gone.
+func TestOverwrittenTargetIsDroppedInTime(t *testing.T) {
+	t.Parallel()
+	d := newDeployment(t)
+	daemon := d.addDaemon("a")
+	overwrittenAt := time.Now()
+	for range 3 { // a second one does not lengthen the time
+		for _, target := range d.plain {
+			d.overwrite(target.ID, target, malformedEntries["fields missing"])
+		}
+		time.Sleep(500 * time.Millisecond)
+	}
+	for i := 0; time.Since(overwrittenAt) < 2*changeBound; i++ {
+		d.call(daemon, http.MethodGet, "/read/1", fmt.Sprint("call-", i), "key-1", "")
+		time.Sleep(10 * time.Millisecond)
+	}
+	for _, target := range d.plain {
+		for _, arrival := range target.Arrivals() {
+			if late := arrival.At.Sub(overwrittenAt); late > changeBound {
+				t.Errorf("request %s reaches %s %v after its entry was overwritten", arrival.RequestID, target.ID, late)
+			}
+		}
+	}
+}
+
 // TestServiceThatIsNamedLater guards against a target that is never used because its entry was there before the configuration that names
 // its service.
 func TestServiceThatIsNamedLater(t *testing.T) {
--- a/internal/edge/targets.go
+++ b/internal/edge/targets.go
@@ -144,9 +144,11 @@
 	return configuration.CheckTarget(target.Service, target.Card, target.Layers)
 }
 
-// passOver leaves out an entry that names no target. A target whose entry it has replaced counts as removed.
+// passOver leaves out an entry that names no target. A target whose entry it has replaced is used for some time, since it may be
+// sound and write its own entry again.
 func (o *targetObserver) passOver(row tablecache.Row, removal fleet.Removal, reason error) {
 	now, kept := boottime.Now(), false
+	removal.Overwritten = true
 	o.gateway.WithFleet(func(f *fleet.Fleet) { kept = f.Remove(now, entity.TargetID(row.Key), removal) })
 	if errors.Is(reason, errNoConfiguration) {
 		return // it is checked again in a moment
