--- a/internal/emulator/edgeplatform/store.go
+++ b/internal/emulator/edgeplatform/store.go
@@ -133,6 +133,16 @@
 	s.apply(Row{Table: table, Key: key, Value: value})
 }
 
+// ChangePart records a change of a row in a part of a table other than the empty one. Only the feed shows it.
+func (s *Store) ChangePart(part string, row Row) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version++
+	row.Part, row.Ver = part, s.version
+	s.history = append(s.history, row)
+	s.wake()
+}
+
 // Remove removes a row.
 func (s *Store) Remove(table, key string) {
 	s.mu.Lock()
@@ -153,6 +163,11 @@
 		}
 		s.history = append(s.history, row)
 	}
+	s.wake()
+}
+
+// wake wakes waiting feed requests. The caller holds s.mu.
+func (s *Store) wake() {
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
