Forward no promise of a target that has run a request

Cause: a response of a target is forwarded whatever its status says. 503, 429, 408 and 421 promise callers that a request has not run, but of a target only X-Not-Executed or 421 states that; a grey server fails with 503 what it has run.

Evidence: the daemon's log has result="ok" status=503 sends=1 runs=1 targets=i-ledger-1 for these payments, so that the 503 is the target's, not a refusal of the instance, and no other attempt was made. The record of the case shows the run before the answer.

Change: writeResponse, through which every response but a stream passes (plain calls, held ones, streams before their first event, relayed requests), replaces such a status by target_failed (502, without the target's proof and its Retry-After) if the request may run only once. Requests that may be repeated get the target's failure unchanged: their callers may repeat them anyway, and Retry-After is of use to them. The responses of other instances are covered, so that it holds beside instances of the build before.

--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"strconv"
 	"time"
@@ -12,6 +13,7 @@
 	"github.com/hyssophoist/hyssophoist/core/errkind"
 	"github.com/hyssophoist/hyssophoist/core/fleet"
 	"github.com/hyssophoist/hyssophoist/internal/boottime"
+	"github.com/hyssophoist/hyssophoist/internal/httpstatus"
 )
 
 const (
@@ -336,8 +338,15 @@
 	}
 }
 
-// writeResponse forwards a target's complete response to the caller.
+// writeResponse forwards a complete response to the caller: that of a target, or of another instance that has taken the request. All
+// responses but streams pass through it.
 func (q *request) writeResponse(response *bufferedResponse) {
+	if q.promisesFalsely(&response.head) {
+		q.lastErr = fmt.Errorf("target that may have run the request responded with status %d, which promises the opposite",
+			response.head.Status)
+		q.endWithError(errkind.TargetFailed)
+		return
+	}
 	q.setWriteTimeout(responseWriteTimeout)
 	copyHeader(q.writer.Header(), response.head.Header)
 	q.closeWhileStopping()
@@ -351,6 +360,13 @@
 	q.recordEnd(resultOK, strconv.Itoa(response.head.Status))
 }
 
+// promisesFalsely reports whether a response of a target has a status that promises that the request has not run, for a request that may
+// run only once. Only a response that is marked as such states that, and those are not forwarded; this one may follow a run. The
+// failures of other requests are forwarded as they are, since their callers may repeat them in any case.
+func (q *request) promisesFalsely(head *ResponseHead) bool {
+	return head.FromTarget && !head.NotRun && !q.route.Repeatable() && httpstatus.PromisesNotRun(head.Status)
+}
+
 func copyHeader(to, from http.Header) {
 	for name, values := range from {
 		to[name] = values
--- a/internal/httpstatus/httpstatus.go
+++ b/internal/httpstatus/httpstatus.go
@@ -1,4 +1,4 @@
-// Package httpstatus tells the status codes of final responses from others.
+// Package httpstatus says what the status codes of responses mean for the request.
 package httpstatus
 
 import "net/http"
@@ -15,3 +15,13 @@
 // IsFinal reports whether the status code is one of a final response, from 200 to 599. net/http also reads codes from 0 to 99 and
 // from 600 to 999, which no sender may write; what such a response says about the request is unknown.
 func IsFinal(code int) bool { return code >= http.StatusOK && code <= maxFinal }
+
+// PromisesNotRun reports whether callers take a response with the status code for a promise that the request has not run and never
+// will. They then repeat even requests that may run only once.
+func PromisesNotRun(code int) bool {
+	switch code {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
