Apply waiting entries in the order of their rows

Cause: keeps the entries that no configuration allows for yet in a map, and applies them in its random order once there is one. A configuration that arrives while a batch of entries is applied also splits the batch: its first entries wait, its last ones do not. A daemon then knows its targets in another order at each start, and of equal targets the first one is preferred.

--- a/internal/edge/observers.go
+++ b/internal/edge/observers.go
@@ -29,8 +29,7 @@
 			log.Event("configuration not understood, the one in force is kept", "row", row.Version, "error", err.Error())
 			continue
 		}
-		if o.gateway.Configure(configuration) {
-			(*targetObserver)(o).checkAgain()
+		if (*targetObserver)(o).configure(configuration) {
 			o.metrics.ConfigurationVersion.Set(float64(configuration.Version))
 			o.sharer.Announce()
 			log.Event("configuration in force", "version", configuration.Version, "row", row.Version, "store", version)
--- a/internal/edge/targets.go
+++ b/internal/edge/targets.go
@@ -1,7 +1,10 @@
 package edge
 
 import (
+	"cmp"
 	"errors"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -9,6 +12,7 @@
 
 	"github.com/hyssophoist/hyssophoist/core/entity"
 	"github.com/hyssophoist/hyssophoist/core/fleet"
+	"github.com/hyssophoist/hyssophoist/core/routing"
 	"github.com/hyssophoist/hyssophoist/core/rowversion"
 	"github.com/hyssophoist/hyssophoist/core/tablecache"
 	"github.com/hyssophoist/hyssophoist/internal/boottime"
@@ -26,7 +30,8 @@
 
 // targetEntries holds the entries in the list of targets that are not in the fleet.
 type targetEntries struct {
-	// mu is held while entries are checked and applied: the list and the configuration change independently.
+	// mu is held while entries are checked and applied, and while the configuration changes: all entries of a batch are checked
+	// against the same one.
 	mu sync.Mutex
 	// waiting holds the entries that the configuration in force does not allow for. A later one may.
 	waiting map[entity.TargetID]waitingEntry
@@ -188,16 +193,24 @@
 		"changing", target.Changing, "born", target.Born, "revision", target.Revision, "row", row.Version)
 }
 
-// checkAgain applies the entries that the configuration did not allow for before, and does now.
-func (o *targetObserver) checkAgain() {
+// configure puts a configuration in force if its version is higher than that of the present one, and reports whether it did. It then
+// applies the entries that wait for it, in the order of their rows: among equal targets the first one is preferred.
+func (o *targetObserver) configure(configuration *routing.Configuration) bool {
 	o.entries.mu.Lock()
 	defer o.entries.mu.Unlock()
-	for id, entry := range o.entries.waiting {
+	if !o.gateway.Configure(configuration) {
+		return false
+	}
+	waiting := slices.SortedFunc(maps.Values(o.entries.waiting), func(a, b waitingEntry) int {
+		return cmp.Or(cmp.Compare(a.row.Version, b.row.Version), cmp.Compare(a.row.Key, b.row.Key))
+	})
+	for _, entry := range waiting {
 		if o.checkTarget(entry.target) == nil {
-			delete(o.entries.waiting, id)
+			delete(o.entries.waiting, entry.target.ID)
 			o.put(entry.row, entry.target)
 		}
 	}
+	return true
 }
 
 // StoreLost implements watch.Observer.
