Tell the newer of two entries by its process and revision

Cause: the row that the store performed last counts as the newest. A heartbeat that got no answer may be performed seconds later, after newer ones; born and seq were compared only with entries known from before a restore of the store.

Evidence: with born and revision in the log, one process of i-ledger-2 changes to revisions 1 (ready), 8 (draining), 5 (ready) and 11 (draining). That excludes a server that says ready again, and rows applied in a wrong order: row 32 of the store has revision 5.

Change: core/fleet orders entries by start time and revision, always. An older entry is ignored; it does not keep a target whose entry may have lapsed. For a minute it is remembered which entry a removed target had, so that an older one does not bring it back; one that is newer than any known, of a process whose entry was removed while the store was there, can still be a late write, and is used once the next entry follows, or 10 s after the removal. An older process that goes on writing for 10 s is taken as the one that runs, so that a wrong clock or number keeps no target out for ever. The field beforeRestore is gone: its rule now holds always.

Test replaced: "new process and then an entry of the one that leaves" of TestLeavingByResponse expected that the older entry replaces the newer process. It now expects that the newer process stays in service, that connections to the older one are not used (checked in all cases), and, in a new case, that the older one is known as leaving where it goes on.

--- a/core/fleet/backoff.go
+++ b/core/fleet/backoff.go
@@ -41,7 +41,7 @@
 	asked := now.Add(min(d, MaxBackoff))
 	state := f.targets.Get(id)
 	if state == nil {
-		if departed, known := f.departed[id]; known && departed.born == born && d > 0 {
+		if departed, known := f.departed[id]; known && departed.version.born == born && d > 0 {
 			departed.backoff.extend(asked)
 			f.departed[id] = departed
 		}
@@ -66,7 +66,7 @@
 // departedBackoff returns the backoff of a target that was dropped, if the entry is of the same process.
 func (f *Fleet) departedBackoff(target Target) backoff {
 	for _, departures := range []departures{f.departed, f.departedBefore} {
-		if departed, known := departures[target.ID]; known && departed.born == target.Born {
+		if departed, known := departures[target.ID]; known && departed.version.born == target.Born {
 			return departed.backoff
 		}
 	}
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -86,13 +86,11 @@
 	backoff         backoff
 	// removeAt is when a target whose entry may have lapsed in an outage of the store is dropped; zero for listed targets.
 	removeAt time.Time
-	// beforeRestore reports whether the entry was read before the store was restored from a copy, which may have an
-	// older one.
-	beforeRestore bool
+	late     lateEntries
 	// leavingSince is when the target's process first said in a response that it leaves; zero if it has not.
 	leavingSince time.Time
-	// absentUntil is when a target that was known to be gone, and is in the list again since the store was restored,
-	// counts as alive; zero for others.
+	// absentUntil is when a target that was known to be gone, and is in the list again, counts as alive unless a later entry shows it
+	// before; zero for others.
 	absentUntil time.Time
 }
 
@@ -129,6 +127,8 @@
 	// restored from a copy, at restoredAt.
 	departed, departedBefore departures
 	restoredAt               time.Time
+	// now is the time of the last call that has told it; Tick is called every second.
+	now time.Time
 	// leaving holds the processes that have said in a response that they leave.
 	leaving map[process]*leavingProcess
 	// ended holds the processes that are known to have ended, with the time at which that was last seen.
@@ -149,27 +149,29 @@
 // All iterates over all targets in the order in which they were added.
 func (f *Fleet) All(yield func(entity.TargetID, *State) bool) { f.targets.All(yield) }
 
-// Put adds or updates a target and reports true. It reports false if it keeps the entry that it has, because the given
-// one comes from the copy that the store was restored from and is older. The recorded failures and limits of a restarted
-// target are reset.
+// Put adds or updates a target and reports true. It reports false if the given entry is older than what is known of the target: the
+// store has performed its write late, or was restored from a copy. The recorded failures and limits of a restarted target are
+// reset.
 func (f *Fleet) Put(target Target) bool {
 	state := f.targets.Get(target.ID)
 	if state == nil {
+		if departed, known := f.departed[target.ID]; known && departed.late.ignores(f.now, target.version(), departed.version) {
+			return false
+		}
 		f.targets.Put(target.ID, &State{
 			Target: target, absentUntil: f.absentUntil(target), leavingSince: f.leavingSince(target),
 			backoff: f.departedBackoff(target),
 		})
 		return true
 	}
-	state.removeAt = time.Time{}
-	if state.beforeRestore && target.olderThan(state.Target.Born, state.Target.Revision) {
+	if state.late.ignores(f.now, target.version(), state.version()) {
 		return false
 	}
 	restarted := state.Born != target.Born
 	if restarted || target.Revision > state.Revision {
 		state.absentUntil = time.Time{}
 	}
-	state.Target, state.beforeRestore, state.leavingSince = target, false, f.leavingSince(target)
+	state.Target, state.late, state.removeAt, state.leavingSince = target, lateEntries{}, time.Time{}, f.leavingSince(target)
 	if restarted {
 		state.consecutiveFailures, state.suspectUntil, state.limit, state.reachability =
 			0, time.Time{}, concurrencyLimit{}, reachability{}
@@ -181,9 +183,10 @@
 
 // Tick drops the targets whose entries have not come back in time, and forgets targets that were dropped long ago.
 func (f *Fleet) Tick(now time.Time) {
+	f.now = now
 	for _, state := range f.targets.All {
 		if !state.removeAt.IsZero() && !now.Before(state.removeAt) {
-			f.drop(now, state)
+			f.drop(now, state, false)
 		}
 	}
 	f.departed.prune(now)
--- a/core/fleet/leaving_test.go
+++ b/core/fleet/leaving_test.go
@@ -45,9 +45,15 @@
 			f.Put(ready(7, 3))
 			f.Put(ready(7, 9))
 		}, "t", false},
-		{"new process and then an entry of the one that leaves", func(f *Fleet, _ time.Time) {
+		{"new process and then a late entry of the one that leaves", func(f *Fleet, _ time.Time) {
 			f.Put(ready(8, 1))
 			f.Put(ready(7, 9))
+		}, "t", true},
+		{"entry of another process, and then the one that leaves goes on", func(f *Fleet, now time.Time) {
+			f.Put(ready(8, 1))
+			f.Put(ready(7, 9))
+			f.Tick(now.Add(lateWriteTime))
+			f.Put(ready(7, 10))
 		}, "t", false},
 		{"success of a request in progress", func(f *Fleet, _ time.Time) { f.RecordSuccess("t") }, "t", false},
 		{"new process under the id", func(f *Fleet, _ time.Time) { f.Put(ready(8, 1)) }, "t", true},
@@ -74,6 +80,9 @@
 			if got := f.Get(test.id).InService(start.Add(10 * time.Second)); got != test.want {
 				t.Errorf("in service: %v, want %v", got, test.want)
 			}
+			if !f.Replaced(ready(7, 9)) {
+				t.Error("connections to the process that leaves are used further")
+			}
 			if lost := f.LostTargets(start.Add(10 * time.Second))[test.id]; lost == test.want {
 				t.Errorf("layers are placed elsewhere: %v", lost)
 			}
--- a/core/fleet/removal.go
+++ b/core/fleet/removal.go
@@ -49,6 +49,9 @@
 	return afterOutage
 }
 
+// deliberate reports whether an entry that is dropped at once was removed and has not merely lapsed or been overwritten.
+func (r Removal) deliberate() bool { return !r.After.IsZero() && !r.Overwritten }
+
 func earlier(a, b time.Time) time.Time {
 	if a.Before(b) {
 		return a
@@ -59,13 +62,14 @@
 // Remove handles the removal of a target's entry from the list. It reports whether the target stays in use for some time,
 // because its entry may only have lapsed in an outage of the store, or has been overwritten.
 func (f *Fleet) Remove(now time.Time, id entity.TargetID, removal Removal) (kept bool) {
+	f.now = now
 	state := f.targets.Get(id)
 	if state == nil {
 		return false
 	}
 	until := removal.usableUntil(f.DrainBound)
 	if !now.Before(until) {
-		f.drop(now, state)
+		f.drop(now, state, removal.deliberate() && state.removeAt.IsZero())
 		return false
 	}
 	if state.removeAt.IsZero() {
