Play late heartbeats and entries of other writers in the soak

Change: two more faults of TestRandomisedSoak, and TestEntriesSoak with half of its faults of these kinds.

--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -66,6 +66,8 @@
 	{"target leaves by response", (*faultInjector).targetLeavesByResponse},
 	groupsSilentKind,
 	copiesKind,
+	entryKinds[0],
+	entryKinds[1],
 }
 
 // step starts a random fault and returns at once.
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -49,6 +50,15 @@
 	runSoak(t, testenv.Seed(t, 100), int(testenv.Steps(t, defaultSteps)), faultKinds, nil)
 }
 
+// TestEntriesSoak is TestRandomisedSoak with half of the faults in the list of targets: late heartbeats and entries of other writers.
+func TestEntriesSoak(t *testing.T) {
+	if testing.Short() {
+		t.Skip("the soak test takes half a minute for each seed")
+	}
+	kinds := append(slices.Clone(faultKinds), slices.Repeat(entryKinds, len(faultKinds)/len(entryKinds))...)
+	runSoak(t, testenv.Seed(t, 60), int(testenv.Steps(t, defaultSteps)), kinds, nil)
+}
+
 // TestSoakRegressions repeats the faults of seeds that once failed.
 func TestSoakRegressions(t *testing.T) {
 	if testing.Short() {
