Say once how a metric reads its value

Change: gauge and counter in metrics.go take any number; replaceFirstEngine in the tests. Names, help texts and labels are those of before.

--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -338,8 +338,15 @@
 	t.Parallel()
 	d := newDeployment(t)
 	daemon := d.addDaemonAndAwaitPlacement()
+	d.replaceFirstEngine()
+	d.checkWholeStream(d.stream(daemon, "after"))
+}
+
+// replaceFirstEngine removes the first engine, adds a spare one to its zone, and waits until that one holds the lost layers.
+func (d *deployment) replaceFirstEngine() {
+	d.t.Helper()
 	spare := edgeplatform.NewTarget("engine-9", "llm", "a", "small", streamEvents)
-	t.Cleanup(spare.Close)
+	d.t.Cleanup(spare.Close)
 	d.store.Remove("servers", d.engines[0].ID)
 	d.engines[0].Close()
 	d.register(spare, "ready")
@@ -347,7 +354,6 @@
 		return countHeldLayers([]*edgeplatform.Target{spare, d.engines[1]}) == modelLayers
 	})
 	d.register(spare, "ready")
-	d.checkWholeStream(d.stream(daemon, "after"))
 }
 
 // TestIdleDeploymentMakesFewStoreCalls guards against frequent calls to the store, such as lease renewals and polls of
--- a/internal/edge/leaving.go
+++ b/internal/edge/leaving.go
@@ -20,10 +20,8 @@
 // registerLeaving adds a metric of the targets that leave.
 func (m *Metrics) registerLeaving(g *gateway.Gateway) {
 	register := func(source string, count func() int) {
-		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
-			Name: "hyssophoist_edge_leaving_targets", ConstLabels: prometheus.Labels{"source": source},
-			Help: "Targets that leave, by the list of targets and by their own responses.",
-		}, func() float64 { return float64(count()) }))
+		m.registry.MustRegister(gauge("hyssophoist_edge_leaving_targets",
+			"Targets that leave, by the list of targets and by their own responses.", prometheus.Labels{"source": source}, count))
 	}
 	register("list", func() int { byList, _ := g.CountLeaving(); return byList })
 	register("response", func() int { _, byResponse := g.CountLeaving(); return byResponse })
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -98,19 +98,31 @@
 	return m
 }
 
+// number is a value that a metric reads when it is collected.
+type number interface {
+	~int | ~int64 | ~uint64 | ~float64
+}
+
+// gauge returns a metric that reads its value when it is collected.
+func gauge[N number](name, help string, labels prometheus.Labels, value func() N) prometheus.Collector {
+	return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help, ConstLabels: labels},
+		func() float64 { return float64(value()) })
+}
+
+// counter is gauge for a value that only rises.
+func counter[N number](name, help string, value func() N) prometheus.Collector {
+	return prometheus.NewCounterFunc(prometheus.CounterOpts{Name: name, Help: help}, func() float64 { return float64(value()) })
+}
+
 // registerTables adds metrics of this instance's copies of the store's tables.
 func (m *Metrics) registerTables(t *tables) {
 	for name, watcher := range map[string]*watch.Watcher{"configuration": t.configuration, "targets": t.targets} {
 		labels := prometheus.Labels{"table": name}
 		m.registry.MustRegister(
-			prometheus.NewGaugeFunc(prometheus.GaugeOpts{
-				Name: "hyssophoist_edge_table_age_seconds", ConstLabels: labels,
-				Help: "Time since the store confirmed the copy of a table, directly or through another instance.",
-			}, func() float64 { return watcher.State().Age.Seconds() }),
-			prometheus.NewGaugeFunc(prometheus.GaugeOpts{
-				Name: "hyssophoist_edge_table_reader", ConstLabels: labels,
-				Help: "1 if this instance reads a table for its zone.",
-			}, func() float64 {
+			gauge("hyssophoist_edge_table_age_seconds",
+				"Time since the store confirmed the copy of a table, directly or through another instance.", labels,
+				func() float64 { return watcher.State().Age.Seconds() }),
+			gauge("hyssophoist_edge_table_reader", "1 if this instance reads a table for its zone.", labels, func() int {
 				if watcher.Reader() {
 					return 1
 				}
@@ -122,63 +134,42 @@
 
 // registerStore adds metrics of the store.
 func (m *Metrics) registerStore(s *platform.Store) {
-	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
-		Name: "hyssophoist_edge_store_era",
-		Help: "Era of the store, which rises each time it comes back from an older copy of its content.",
-	}, func() float64 { return float64(s.Era()) }))
+	m.registry.MustRegister(gauge("hyssophoist_edge_store_era",
+		"Era of the store, which rises each time it comes back from an older copy of its content.", nil, s.Era))
 }
 
 // registerGateway adds metrics of the state of the gateway.
 func (m *Metrics) registerGateway(g *gateway.Gateway) {
 	m.registry.MustRegister(
 		sheddingCollector{g},
-		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
-			Name: "hyssophoist_edge_quarantined_parts",
-			Help: "Parts of prompts that are refused because they crash engines.",
-		}, func() float64 { return float64(g.QuarantinedParts()) }),
-		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
-			Name: "hyssophoist_edge_isolated_services",
-			Help: "Services to whose targets this instance has lost its links.",
-		}, func() float64 { return float64(g.IsolatedServices()) }),
-		prometheus.NewCounterFunc(prometheus.CounterOpts{
-			Name: "hyssophoist_edge_relayed_requests_total", Help: "Requests that other instances have taken from this one.",
-		}, func() float64 {
+		gauge("hyssophoist_edge_quarantined_parts", "Parts of prompts that are refused because they crash engines.", nil,
+			g.QuarantinedParts),
+		gauge("hyssophoist_edge_isolated_services", "Services to whose targets this instance has lost its links.", nil,
+			g.IsolatedServices),
+		counter("hyssophoist_edge_relayed_requests_total", "Requests that other instances have taken from this one.", func() uint64 {
 			sent, _ := g.RelayCounts()
-			return float64(sent)
-		}),
-		prometheus.NewCounterFunc(prometheus.CounterOpts{
-			Name: "hyssophoist_edge_unrelayed_requests_total",
-			Help: "Requests that no other instance has taken from this one, which is isolated from their targets.",
-		}, func() float64 {
-			_, refused := g.RelayCounts()
-			return float64(refused)
+			return sent
 		}),
-		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
-			Name: "hyssophoist_edge_backoff_targets", Help: "Targets that asked to get no requests for some time.",
-		}, func() float64 {
+		counter("hyssophoist_edge_unrelayed_requests_total",
+			"Requests that no other instance has taken from this one, which is isolated from their targets.", func() uint64 {
+				_, refused := g.RelayCounts()
+				return refused
+			}),
+		gauge("hyssophoist_edge_backoff_targets", "Targets that asked to get no requests for some time.", nil, func() int {
 			targets, _ := g.Backoffs()
-			return float64(targets)
+			return targets
 		}),
-		prometheus.NewCounterFunc(prometheus.CounterOpts{
-			Name: "hyssophoist_edge_backoff_saved_attempts_total",
-			Help: "Attempts that were not sent to a target because it asked to get no requests.",
-		}, func() float64 {
-			_, saved := g.Backoffs()
-			return float64(saved)
-		}),
-		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
-			Name: "hyssophoist_edge_body_bytes", Help: "Bytes of response bodies that are buffered.",
-		}, func() float64 { return float64(g.BodyMemoryUsed()) }),
-		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
-			Name: "hyssophoist_edge_body_limit_bytes", Help: "Limit of the bytes of response bodies that are buffered.",
-		}, func() float64 { return float64(g.BodyMemoryLimit()) }),
-		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
-			Name: "hyssophoist_edge_request_body_bytes", Help: "Bytes reserved for the bodies of requests in progress.",
-		}, func() float64 { return float64(g.RequestBodyMemoryUsed()) }),
-		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
-			Name: "hyssophoist_edge_request_body_limit_bytes",
-			Help: "Limit of the bytes reserved for the bodies of requests in progress.",
-		}, func() float64 { return float64(g.RequestBodyMemoryLimit()) }),
+		counter("hyssophoist_edge_backoff_saved_attempts_total",
+			"Attempts that were not sent to a target because it asked to get no requests.", func() uint64 {
+				_, saved := g.Backoffs()
+				return saved
+			}),
+		gauge("hyssophoist_edge_body_bytes", "Bytes of response bodies that are buffered.", nil, g.BodyMemoryUsed),
+		gauge("hyssophoist_edge_body_limit_bytes", "Limit of the bytes of response bodies that are buffered.", nil, g.BodyMemoryLimit),
+		gauge("hyssophoist_edge_request_body_bytes", "Bytes reserved for the bodies of requests in progress.", nil,
+			g.RequestBodyMemoryUsed),
+		gauge("hyssophoist_edge_request_body_limit_bytes", "Limit of the bytes reserved for the bodies of requests in progress.", nil,
+			g.RequestBodyMemoryLimit),
 	)
 }
 
--- a/internal/edge/otherwriter_test.go
+++ b/internal/edge/otherwriter_test.go
@@ -51,15 +51,7 @@
 		t.Logf("%s: %s", key, name)
 	}
 	d.store.PutRaw("servers", "other-raw", []byte("\x00\xff{"))
-	spare := edgeplatform.NewTarget("engine-9", "llm", "a", "small", streamEvents)
-	t.Cleanup(spare.Close)
-	d.store.Remove("servers", d.engines[0].ID)
-	d.engines[0].Close()
-	d.register(spare, "ready")
-	d.waitUntil("the spare engine holds the lost layers", func() bool {
-		return countHeldLayers([]*edgeplatform.Target{spare, d.engines[1]}) == modelLayers
-	})
-	d.register(spare, "ready")
+	d.replaceFirstEngine()
 	d.checkWholeStream(d.stream(daemon, "after"))
 	d.checkServed(d.daemons, changeBound/2)
 	daemon.gateway.WithFleet(func(f *fleet.Fleet) {
