Check the layers of targets in use too

What callers saw: 503 no_capacity for streams, where another writer copies the entry of an engine and changes its layers to some that the model does not have.

Cause: accepts each later entry of a process in use, so that a manifest that drops its service breaks nothing off. That also let through layers and types that the deployment does not have.

Change: only the missing service of a target in use is excused.

--- a/internal/edge/otherwriter_test.go
+++ b/internal/edge/otherwriter_test.go
@@ -27,12 +27,13 @@
 
 // malformedEntries are the fields by which entries of other writers differ from those of targets.
 var malformedEntries = map[string]map[string]any{
-	"fields missing":          {"version": nil, "coldLeftMs": nil, "seq": nil, "born": nil},
-	"field of another type":   {"seq": "1"},
-	"unknown state":           {"state": "resting"},
-	"unknown service":         {"service": "other", "born": 1 << 50, "seq": 1 << 50},
-	"layers beyond the model": {"service": "llm", "routeKind": "small", "layers": map[string]any{"from": modelLayers, "target": modelLayers + 2}, "born": 9},
-	"unknown card":            {"service": "llm", "routeKind": "large", "born": 9},
+	"fields missing":                        {"version": nil, "coldLeftMs": nil, "seq": nil, "born": nil},
+	"field of another type":                 {"seq": "1"},
+	"unknown state":                         {"state": "resting"},
+	"unknown service":                       {"service": "other", "born": 1 << 50, "seq": 1 << 50},
+	"layers beyond the model":               {"service": "llm", "routeKind": "small", "layers": map[string]any{"from": modelLayers, "target": modelLayers + 2}, "born": 9},
+	"impossible layers of the same process": {"layers": map[string]any{"from": modelLayers, "target": modelLayers + 2}},
+	"unknown card":                          {"service": "llm", "routeKind": "large", "born": 9},
 }
 
 // TestEntriesOfOtherWritersNameNoTarget guards against requests and orders to what another writer has listed, and against instances that
--- a/internal/edge/targets.go
+++ b/internal/edge/targets.go
@@ -131,24 +131,27 @@
 var errNoConfiguration = errors.New("no configuration is known yet")
 
 // checkTarget returns an error for an entry that the configuration in force does not allow for: it names a service or layers that the
-// deployment does not have. Later entries of a target that is in use are accepted, since its service or its model may only
-// just have been changed.
+// deployment does not have.
 func (o *targetObserver) checkTarget(target fleet.Target) error {
-	inUse := false
-	o.gateway.WithFleet(func(f *fleet.Fleet) {
-		state := f.Get(target.ID)
-		inUse = state != nil && state.Service == target.Service && state.Born == target.Born
-	})
 	configuration := o.gateway.Configuration()
-	switch {
-	case inUse:
-		return nil
-	case configuration == nil:
+	if configuration == nil {
 		return errNoConfiguration
 	}
+	if configuration.Services[target.Service] == nil && o.isInUse(target) {
+		return nil // its service has been dropped, and its requests in progress go on
+	}
 	return configuration.CheckTarget(target.Service, target.Card, target.Layers)
 }
 
+// isInUse reports whether the process of a target is in the fleet, under the same service.
+func (o *targetObserver) isInUse(target fleet.Target) (inUse bool) {
+	o.gateway.WithFleet(func(f *fleet.Fleet) {
+		state := f.Get(target.ID)
+		inUse = state != nil && state.Service == target.Service && state.Born == target.Born
+	})
+	return inUse
+}
+
 // passOver leaves out an entry that names no target. A target whose entry it has replaced is used for some time, since it may be
 // sound and write its own entry again.
 func (o *targetObserver) passOver(row tablecache.Row, removal fleet.Removal, reason error) {
