Say what the records of late entries hold

Cause: read as a newcomer, the fields late and now of core/fleet do not say what they are for.

Change: comments only.

--- a/core/fleet/entryorder.go
+++ b/core/fleet/entryorder.go
@@ -40,7 +40,7 @@
 	since time.Time
 }
 
-// ignores reports whether an entry that is written at time now is ignored because the known one is newer.
+// ignores reports whether an entry that is written at time now is ignored because the known one is newer, and records it if so.
 func (l *lateEntries) ignores(now time.Time, entry, known entryVersion) bool {
 	if !entry.olderThan(known) {
 		return false
@@ -57,7 +57,8 @@
 	// version is that of its last entry.
 	version entryVersion
 	at      time.Time
-	late    *lateEntries
+	// late records the older entries that are written after it.
+	late *lateEntries
 	// deliberate reports whether the entry was removed and cannot merely have lapsed.
 	deliberate bool
 	// backoff is kept for the case that only the entry of the process expired.
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -86,7 +86,8 @@
 	backoff         backoff
 	// removeAt is when a target whose entry may have lapsed in an outage of the store is dropped; zero for listed targets.
 	removeAt time.Time
-	late     lateEntries
+	// late records the entries that are older than this one.
+	late lateEntries
 	// leavingSince is when the target's process first said in a response that it leaves; zero if it has not.
 	leavingSince time.Time
 	// absentUntil is when a target that was known to be gone, and is in the list again, counts as alive unless a later entry shows it
@@ -127,7 +128,7 @@
 	// restored from a copy, at restoredAt.
 	departed, departedBefore departures
 	restoredAt               time.Time
-	// now is the time of the last call that has told it; Tick is called every second.
+	// now is the time of the last call of Tick, Remove or Retain. Tick is called every second, which is enough to tell late writes.
 	now time.Time
 	// leaving holds the processes that have said in a response that they leave.
 	leaving map[process]*leavingProcess
